--- /dev/null
+++ b/modules/cr_admission/cr_admission.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/** Decides which calls a backend server gets, in which order, and which are
+    refused. Pure: time comes in, decisions go out. */
+
+#include "cr_admission/gate/cr_Gate.h"
--- /dev/null
+++ b/modules/cr_command/command/cr_TextFile.cpp
@@ -0,0 +1,56 @@
+#include "cr_command/command/cr_TextFile.h"
+
+#include <charconv>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace cr {
+
+namespace {
+
+constexpr std::uintmax_t kGreatestFileBytes = 4 * 1024 * 1024;
+
+}
+
+Expected<std::string>
+ReadTextFile(const std::string& aPath)
+{
+  std::error_code error;
+  const auto size = std::filesystem::file_size(aPath, error);
+  if (error) {
+    return Failure(ErrorCode::NotFound,
+                   "cannot read " + aPath + ": " + error.message());
+  }
+  if (size > kGreatestFileBytes) {
+    return Failure(ErrorCode::LimitReached, aPath + " is larger than 4 MiB");
+  }
+  std::ifstream file(aPath, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    return Failure(ErrorCode::NotFound, "cannot read " + aPath);
+  }
+  return text.str();
+}
+
+Expected<Endpoint>
+ParseEndpointText(const std::string& aText)
+{
+  const auto colon = aText.rfind(':');
+  std::uint16_t port = 0;
+  bool valid = colon != std::string::npos && colon > 0;
+  if (valid) {
+    const char* begin = aText.data() + colon + 1;
+    const char* end = aText.data() + aText.size();
+    const auto result = std::from_chars(begin, end, port);
+    valid = result.ec == std::errc() && result.ptr == end && port != 0;
+  }
+  if (!valid) {
+    return Failure(ErrorCode::Malformed,
+                   "\"" + aText + "\" is not address:port");
+  }
+  return Endpoint{ aText.substr(0, colon), port };
+}
+
+}
--- /dev/null
+++ b/modules/cr_configuration/cr_configuration.h
@@ -0,0 +1,10 @@
+#pragma once
+
+/** Service files, the checks over all of them together, the configuration in
+    force, and its publication through the platform. */
+
+#include "cr_configuration/description/cr_Configuration.h"
+#include "cr_configuration/description/cr_ConfigurationCheck.h"
+#include "cr_configuration/description/cr_ServiceFile.h"
+#include "cr_configuration/publish/cr_ConfigurationRows.h"
+#include "cr_configuration/publish/cr_Publisher.h"
--- /dev/null
+++ b/modules/cr_configuration/publish/cr_ConfigurationRows.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "cr_configuration/description/cr_Configuration.h"
+#include "cr_platform/cr_platform.h"
+
+namespace cr {
+
+/** Row that names the configuration in force. */
+RowKey
+HeadRow();
+
+/** Row of the audit trail for a generation. */
+RowKey
+AuditRow(Generation aGeneration);
+
+/** Returns the name under which an object with this content is stored. Thread
+    safe. */
+std::string
+ObjectName(std::string_view aContent);
+
+/** Value of the head row: the generation and the manifest's object name. */
+struct ConfigurationHead
+{
+  Generation m_generation = 0;
+  std::string m_manifest;
+  /** Identifies the publication, to settle a lost answer. */
+  std::string m_publication;
+  std::string m_operator;
+  WallMilliseconds m_time = 0;
+};
+
+/** The services of a generation and the object that holds each one's file. */
+struct Manifest
+{
+  std::map<std::string, std::string, std::less<>> m_objects;
+};
+
+/** Writes the head row's value. Thread safe. */
+std::string
+EncodeHead(const ConfigurationHead& aHead);
+
+/** Reads the head row's value. Thread safe. */
+Expected<ConfigurationHead>
+DecodeHead(std::string_view aText);
+
+/** Writes the manifest object. Thread safe. */
+std::string
+EncodeManifest(const Manifest& aManifest);
+
+/** Reads a manifest object. Thread safe. */
+Expected<Manifest>
+DecodeManifest(std::string_view aText);
+
+}
--- /dev/null
+++ b/modules/cr_core/cr_core.h
@@ -0,0 +1,17 @@
+#pragma once
+
+/** Vocabulary shared by all modules: time, identities, outcomes, errors,
+    findings, seeded random numbers and guarded state.
+
+    Nothing here opens a socket, reads a clock or starts a thread. */
+
+#include "cr_core/call/cr_CallHeader.h"
+#include "cr_core/concurrency/cr_Guarded.h"
+#include "cr_core/errors/cr_Error.h"
+#include "cr_core/errors/cr_Finding.h"
+#include "cr_core/identity/cr_Identifier.h"
+#include "cr_core/identity/cr_Importance.h"
+#include "cr_core/identity/cr_Outcome.h"
+#include "cr_core/random/cr_Hash.h"
+#include "cr_core/random/cr_Random.h"
+#include "cr_core/time/cr_Time.h"
--- /dev/null
+++ b/modules/cr_membership/cr_membership.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/** Which nodes there are, which backend server each has, and how a node keeps
+    this picture fresh. Pure. */
+
+#include "cr_membership/rows/cr_NodeRow.h"
--- /dev/null
+++ b/modules/cr_node/decisions/cr_NodeDecisions.cpp
@@ -0,0 +1,224 @@
+#include "cr_node/decisions/cr_NodeDecisions.h"
+
+#include <algorithm>
+#include <type_traits>
+
+namespace cr {
+
+namespace {
+
+template<typename Type, typename... Types>
+constexpr bool kIsOneOf = (std::is_same_v<Type, Types> || ...);
+
+}
+
+NodeDecisions::NodeDecisions(NodeIdentity aIdentity)
+  : m_identity(std::move(aIdentity))
+  , m_routers(m_identity)
+  , m_gate(m_identity, m_configuration)
+  , m_directory(m_identity, m_routers)
+  , m_configurationFlow(m_configuration)
+{
+  for (std::size_t shard = 0; shard < kShardCount; ++shard) {
+    m_entries.at(shard) = std::make_unique<Guarded<EntryFlow>>(
+      m_identity, shard, m_routers, m_configuration);
+  }
+}
+
+void
+NodeDecisions::Handle(const Event& aEvent, Moment aMoment, Actions& aActions)
+{
+  std::visit(
+    [&](const auto& aTyped) {
+      using Type = std::decay_t<decltype(aTyped)>;
+      if constexpr (kIsOneOf<Type,
+                             AttemptAnswered,
+                             AttemptFailed,
+                             WithdrawAnswered>) {
+        DoAtEntry(aTyped, aMoment, aActions);
+      } else if constexpr (
+        kIsOneOf<Type, PeerCall, WithdrawAsked, ServerAnswered, ServerFailed>) {
+        DoAtGate(aTyped, aMoment, aActions);
+      } else {
+        Do(aTyped, aMoment, aActions);
+      }
+    },
+    aEvent);
+}
+
+Instant
+NodeDecisions::NextWakeup() const
+{
+  Instant due =
+    std::min(m_directory.With(
+               [](const DirectoryFlow& aFlow) { return aFlow.NextDue(); }),
+             m_configurationFlow.With(
+               [](const ConfigurationFlow& aFlow) { return aFlow.NextDue(); }));
+  const auto gateDue =
+    m_gate.With([](const GateFlow& aFlow) { return aFlow.NextDue(); });
+  return gateDue ? std::min(due, *gateDue) : due;
+}
+
+NodeStatus
+NodeDecisions::Status() const
+{
+  NodeStatus status;
+  status.m_host = m_identity.m_host;
+  status.m_incarnation = m_identity.m_incarnation;
+  status.m_generation = m_configuration.Current()->m_generation;
+  m_gate.With([&](const GateFlow& aFlow) {
+    status.m_server = aFlow.Server();
+    status.m_running = aFlow.GateState().Running();
+    status.m_waiting = aFlow.GateState().Waiting();
+    status.m_level = aFlow.GateState().Level();
+  });
+  for (const auto& entry : m_entries) {
+    status.m_entryCalls +=
+      entry->With([](const EntryFlow& aFlow) { return aFlow.Size(); });
+  }
+  status.m_hosts = m_routers.Sizes();
+  status.m_knownNodes = m_directory.With(
+    [](const DirectoryFlow& aFlow) { return aFlow.Rows().size(); });
+  return status;
+}
+
+void
+NodeDecisions::Do(const CustomerCall& aEvent, Moment aMoment, Actions& aActions)
+{
+  FlowOutput output;
+  m_entries.at(ShardOf(static_cast<std::uint64_t>(aEvent.m_call)))
+    ->With([&](EntryFlow& aFlow) { aFlow.Start(aEvent, aMoment, output); });
+  Settle(std::move(output), aActions);
+}
+
+void
+NodeDecisions::Do(const ChildCall& aEvent, Moment aMoment, Actions& aActions)
+{
+  const auto inheritance = m_gate.With([&](GateFlow& aFlow) {
+    return aFlow.Inherit(aEvent.m_parent, aEvent.m_operation);
+  });
+  if (!inheritance) {
+    CallReport report;
+    report.m_outcome = Outcome::NotRun;
+    report.m_reason = Reason::CallerGone;
+    aActions.emplace_back(AnswerCall{ aEvent.m_call, {}, report, nullptr });
+    return;
+  }
+  FlowOutput output;
+  m_entries.at(ShardOf(static_cast<std::uint64_t>(aEvent.m_call)))
+    ->With([&](EntryFlow& aFlow) {
+      aFlow.Start(aEvent, *inheritance, aMoment, output);
+    });
+  Settle(std::move(output), aActions);
+}
+
+void
+NodeDecisions::Do(const CallerGone& aEvent, Moment aMoment, Actions& aActions)
+{
+  FlowOutput output;
+  m_entries.at(ShardOf(static_cast<std::uint64_t>(aEvent.m_call)))
+    ->With([&](EntryFlow& aFlow) { aFlow.Handle(aEvent, aMoment, output); });
+  m_gate.With([&](GateFlow& aFlow) { aFlow.Handle(aEvent, aMoment, output); });
+  Settle(std::move(output), aActions);
+}
+
+void
+NodeDecisions::Do(const ServerAnnounced& aEvent,
+                  Moment aMoment,
+                  Actions& aActions)
+{
+  DoAtGate(aEvent, aMoment, aActions);
+  ShareServerState(aMoment, aActions);
+}
+
+void
+NodeDecisions::Do(const StoreAnswered& aEvent,
+                  Moment aMoment,
+                  Actions& aActions)
+{
+  switch (aEvent.m_call.m_client) {
+    case StoreClient::Directory:
+      m_directory.With(
+        [&](DirectoryFlow& aFlow) { aFlow.Handle(aEvent, aMoment, aActions); });
+      return;
+    case StoreClient::Configuration:
+      m_configurationFlow.With([&](ConfigurationFlow& aFlow) {
+        aFlow.Handle(aEvent, aMoment, aActions);
+      });
+      return;
+    case StoreClient::Ownership:
+      return;
+  }
+}
+
+void
+NodeDecisions::Do(const TimerDue& /*aEvent*/, Moment aMoment, Actions& aActions)
+{
+  FlowOutput output;
+  m_gate.With([&](GateFlow& aFlow) { aFlow.Advance(aMoment, output); });
+  Settle(std::move(output), aActions);
+  ShareServerState(aMoment, aActions);
+  m_configurationFlow.With(
+    [&](ConfigurationFlow& aFlow) { aFlow.Advance(aMoment, aActions); });
+}
+
+void
+NodeDecisions::Do(const ShutdownAsked& aEvent,
+                  Moment aMoment,
+                  Actions& aActions)
+{
+  DoAtGate(aEvent, aMoment, aActions);
+  ShareServerState(aMoment, aActions);
+}
+
+template<typename AttemptEvent>
+void
+NodeDecisions::DoAtEntry(const AttemptEvent& aEvent,
+                         Moment aMoment,
+                         Actions& aActions)
+{
+  FlowOutput output;
+  m_entries.at(ShardOf(aEvent.m_attempt.m_low))->With([&](EntryFlow& aFlow) {
+    aFlow.Handle(aEvent, aMoment, output);
+  });
+  Settle(std::move(output), aActions);
+}
+
+template<typename GateEvent>
+void
+NodeDecisions::DoAtGate(const GateEvent& aEvent,
+                        Moment aMoment,
+                        Actions& aActions)
+{
+  FlowOutput output;
+  m_gate.With([&](GateFlow& aFlow) { aFlow.Handle(aEvent, aMoment, output); });
+  Settle(std::move(output), aActions);
+}
+
+void
+NodeDecisions::Settle(FlowOutput&& aOutput, Actions& aActions)
+{
+  if (!aOutput.m_ended.empty()) {
+    m_gate.With([&](GateFlow& aFlow) {
+      for (const ChildEnded& ended : aOutput.m_ended) {
+        aFlow.TakeBack(ended);
+      }
+    });
+  }
+  std::move(aOutput.m_actions.begin(),
+            aOutput.m_actions.end(),
+            std::back_inserter(aActions));
+}
+
+void
+NodeDecisions::ShareServerState(Moment aMoment, Actions& aActions)
+{
+  const ServerView server =
+    m_gate.With([](const GateFlow& aFlow) { return aFlow.Server(); });
+  m_directory.With([&](DirectoryFlow& aFlow) {
+    aFlow.SetServer(server.m_service, server.m_state);
+    aFlow.Advance(aMoment, aActions);
+  });
+}
+
+}
--- /dev/null
+++ b/modules/cr_node/flow/cr_EntryFlow.cpp
@@ -0,0 +1,307 @@
+#include "cr_node/flow/cr_EntryFlow.h"
+
+#include <algorithm>
+
+#include "cr_admission/cr_admission.h"
+
+namespace cr {
+
+namespace {
+
+constexpr std::size_t kGreatestTries = 3;
+
+bool
+IsHelpedByAnotherHost(Reason aReason)
+{
+  switch (aReason) {
+    case Reason::Overloaded:
+    case Reason::Evicted:
+    case Reason::NoServer:
+    case Reason::Leaving:
+    case Reason::Withdrawn:
+    case Reason::ConnectionLost:
+    case Reason::ServerFailed:
+      return true;
+    default:
+      return false;
+  }
+}
+
+void
+Refuse(const CustomerCall& aCall, Reason aReason, FlowOutput& aOutput)
+{
+  CallReport report;
+  report.m_outcome = Outcome::NotRun;
+  report.m_reason = aReason;
+  aOutput.m_actions.emplace_back(
+    AnswerCall{ aCall.m_call, aCall.m_request, report, nullptr });
+}
+
+}
+
+EntryFlow::EntryFlow(const NodeIdentity& aIdentity,
+                     std::size_t aShard,
+                     RouterTable& aRouters,
+                     const ConfigurationHolder& aConfiguration)
+  : m_identity(aIdentity)
+  , m_shard(aShard)
+  , m_routers(aRouters)
+  , m_configuration(aConfiguration)
+{
+}
+
+void
+EntryFlow::Start(const CustomerCall& aCall, Moment aMoment, FlowOutput& aOutput)
+{
+  const ConfigurationPointer configuration = m_configuration.Current();
+  const OperationDescription* operation =
+    configuration->Find(aCall.m_operation);
+  if (operation == nullptr) {
+    Refuse(aCall, Reason::UnknownService, aOutput);
+    return;
+  }
+  if (!operation->m_idempotent && !aCall.m_key) {
+    Refuse(aCall, Reason::KeyMissing, aOutput);
+    return;
+  }
+  const Duration patience = std::min(
+    aCall.m_patience.value_or(operation->m_patience), operation->m_patience);
+  Call call;
+  call.m_id = aCall.m_call;
+  call.m_header.m_request = aCall.m_request;
+  call.m_header.m_operation = aCall.m_operation;
+  call.m_header.m_importance = operation->m_importance;
+  call.m_header.m_key = aCall.m_key;
+  call.m_idempotent = operation->m_idempotent;
+  call.m_payload = aCall.m_payload;
+  call.m_deadline = aMoment.m_now + patience;
+  call.m_ledger = AttemptLedger(configuration->AttemptTotal(aCall.m_operation));
+  TryNext(m_calls.emplace(aCall.m_call, std::move(call)).first->second,
+          aMoment,
+          aOutput);
+}
+
+void
+EntryFlow::Start(const ChildCall& aCall,
+                 const ChildInheritance& aInheritance,
+                 Moment aMoment,
+                 FlowOutput& aOutput)
+{
+  const ConfigurationPointer configuration = m_configuration.Current();
+  const OperationDescription* operation =
+    configuration->Find(aCall.m_operation);
+  Call call;
+  call.m_id = aCall.m_call;
+  call.m_header = aInheritance.m_parent;
+  call.m_header.m_operation = aCall.m_operation;
+  call.m_header.m_key = aCall.m_key;
+  call.m_header.m_depth = aInheritance.m_parent.m_depth + 1;
+  call.m_payload = aCall.m_payload;
+  call.m_parent = aCall.m_parent;
+  call.m_ledger = AttemptLedger(aInheritance.m_grant);
+  call.m_deadline = aInheritance.m_deadline;
+  if (aCall.m_patience) {
+    call.m_deadline =
+      std::min(call.m_deadline, aMoment.m_now + *aCall.m_patience);
+  }
+  Call& stored = m_calls.emplace(aCall.m_call, std::move(call)).first->second;
+  if (operation == nullptr) {
+    EndUnanswered(stored, Reason::UnknownService, aOutput);
+    return;
+  }
+  if (!operation->m_idempotent && !aCall.m_key) {
+    EndUnanswered(stored, Reason::KeyMissing, aOutput);
+    return;
+  }
+  stored.m_idempotent = operation->m_idempotent;
+  TryNext(stored, aMoment, aOutput);
+}
+
+void
+EntryFlow::Handle(const CallerGone& aEvent,
+                  Moment /*aMoment*/,
+                  FlowOutput& aOutput)
+{
+  const auto call = m_calls.find(aEvent.m_call);
+  if (call == m_calls.end()) {
+    return;
+  }
+  if (call->second.m_attempt) {
+    aOutput.m_actions.emplace_back(
+      CancelAttempt{ call->second.m_attempt->m_id });
+  }
+  EndUnanswered(call->second, Reason::CallerGone, aOutput);
+}
+
+void
+EntryFlow::Handle(const AttemptAnswered& aEvent,
+                  Moment aMoment,
+                  FlowOutput& aOutput)
+{
+  Call* call = FindByAttempt(aEvent.m_attempt);
+  if (call == nullptr) {
+    return;
+  }
+  const CallReport& report = aEvent.m_report;
+  AttemptResult result;
+  result.m_answered = report.m_outcome == Outcome::Completed;
+  result.m_refused = report.m_outcome == Outcome::NotRun;
+  result.m_latency = aMoment.m_now - call->m_attempt->m_started;
+  result.m_level = report.m_level;
+  ReportAttempt(*call, result, aMoment.m_now);
+  call->m_ledger.Return(report.m_unspent);
+  if (report.m_outcome == Outcome::Completed) {
+    End(*call, report, aEvent.m_payload, aOutput);
+    return;
+  }
+  call->m_lastReason = report.m_reason;
+  call->m_mayHaveRun |= report.m_outcome == Outcome::Unknown;
+  RetryOrEnd(*call, aMoment, aOutput);
+}
+
+void
+EntryFlow::Handle(const AttemptFailed& aEvent,
+                  Moment aMoment,
+                  FlowOutput& aOutput)
+{
+  Call* call = FindByAttempt(aEvent.m_attempt);
+  if (call == nullptr) {
+    return;
+  }
+  call->m_lastReason = Reason::ConnectionLost;
+  if (aEvent.m_sent) {
+    aOutput.m_actions.emplace_back(
+      AskWithdraw{ aEvent.m_attempt,
+                   call->m_attempt->m_target.m_peer,
+                   call->m_attempt->m_target.m_incarnation });
+    return;
+  }
+  ReportAttempt(*call, {}, aMoment.m_now);
+  RetryOrEnd(*call, aMoment, aOutput);
+}
+
+void
+EntryFlow::Handle(const WithdrawAnswered& aEvent,
+                  Moment aMoment,
+                  FlowOutput& aOutput)
+{
+  Call* call = FindByAttempt(aEvent.m_attempt);
+  if (call == nullptr) {
+    return;
+  }
+  ReportAttempt(*call, {}, aMoment.m_now);
+  call->m_mayHaveRun |= aEvent.m_result != WithdrawResult::NotRun;
+  RetryOrEnd(*call, aMoment, aOutput);
+}
+
+void
+EntryFlow::TryNext(Call& aCall, Moment aMoment, FlowOutput& aOutput)
+{
+  const Duration remaining = aCall.m_deadline - aMoment.m_now;
+  if (remaining <= Duration::zero()) {
+    EndUnanswered(aCall, Reason::DeadlineTooShort, aOutput);
+    return;
+  }
+  const ConfigurationPointer configuration = m_configuration.Current();
+  const std::uint32_t grant =
+    aCall.m_ledger.Draw(configuration->FirstTries(aCall.m_header.m_operation));
+  if (grant == 0) {
+    EndUnanswered(aCall, Reason::AttemptsSpent, aOutput);
+    return;
+  }
+  const Rank rank =
+    RankOf(aCall.m_header.m_importance, CohortOf(aCall.m_header.m_request));
+  const auto target = m_routers.Choose(
+    aCall.m_header.m_operation.m_service, rank, aCall.m_tried, aMoment.m_now);
+  if (!target) {
+    aCall.m_ledger.Return(grant);
+    EndUnanswered(aCall, aCall.m_lastReason, aOutput);
+    return;
+  }
+  const AttemptId attempt = NextAttemptId();
+  aCall.m_tried.push_back(target->m_host);
+  aCall.m_attempt = Attempt{ attempt, *target, aMoment.m_now };
+  m_attempts.emplace(attempt, aCall.m_id);
+  CallHeader header = aCall.m_header;
+  header.m_remaining = remaining;
+  header.m_grant = grant;
+  header.m_generation = configuration->m_generation;
+  aOutput.m_actions.emplace_back(ForwardCall{ attempt,
+                                              target->m_host,
+                                              target->m_incarnation,
+                                              target->m_peer,
+                                              std::move(header),
+                                              aCall.m_payload });
+}
+
+void
+EntryFlow::RetryOrEnd(Call& aCall, Moment aMoment, FlowOutput& aOutput)
+{
+  m_attempts.erase(aCall.m_attempt->m_id);
+  aCall.m_attempt.reset();
+  const bool safe = aCall.m_idempotent || !aCall.m_mayHaveRun;
+  const bool useful = IsHelpedByAnotherHost(aCall.m_lastReason) &&
+                      aCall.m_tried.size() < kGreatestTries;
+  if (safe && useful) {
+    TryNext(aCall, aMoment, aOutput);
+    return;
+  }
+  EndUnanswered(aCall, aCall.m_lastReason, aOutput);
+}
+
+void
+EntryFlow::EndUnanswered(Call& aCall, Reason aReason, FlowOutput& aOutput)
+{
+  CallReport report;
+  report.m_outcome =
+    aCall.m_mayHaveRun || aCall.m_attempt ? Outcome::Unknown : Outcome::NotRun;
+  report.m_reason = aReason;
+  End(aCall, report, nullptr, aOutput);
+}
+
+void
+EntryFlow::End(Call& aCall,
+               const CallReport& aReport,
+               PayloadPointer aPayload,
+               FlowOutput& aOutput)
+{
+  if (aCall.m_attempt) {
+    m_attempts.erase(aCall.m_attempt->m_id);
+  }
+  if (aCall.m_parent) {
+    aOutput.m_ended.push_back({ *aCall.m_parent, aCall.m_ledger.Available() });
+  }
+  CallReport report = aReport;
+  report.m_unspent = aCall.m_ledger.Available();
+  aOutput.m_actions.emplace_back(AnswerCall{
+    aCall.m_id, aCall.m_header.m_request, report, std::move(aPayload) });
+  m_calls.erase(aCall.m_id);
+}
+
+void
+EntryFlow::ReportAttempt(const Call& aCall,
+                         const AttemptResult& aResult,
+                         Instant aNow)
+{
+  m_routers.Report(aCall.m_header.m_operation.m_service,
+                   aCall.m_attempt->m_target.m_host,
+                   aResult,
+                   aNow);
+}
+
+EntryFlow::Call*
+EntryFlow::FindByAttempt(const AttemptId& aAttempt)
+{
+  const auto attempt = m_attempts.find(aAttempt);
+  return attempt == m_attempts.end() ? nullptr : &m_calls.at(attempt->second);
+}
+
+AttemptId
+EntryFlow::NextAttemptId()
+{
+  const std::uint64_t sender = Hash(
+    m_identity.m_host, static_cast<std::uint64_t>(m_identity.m_incarnation));
+  return { sender, ++m_sequence * kShardCount + m_shard };
+}
+
+}
--- /dev/null
+++ b/modules/cr_node/flow/cr_EntryFlow.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "cr_node/event/cr_Action.h"
+#include "cr_node/event/cr_NodeIdentity.h"
+#include "cr_node/shared/cr_ConfigurationHolder.h"
+#include "cr_node/shared/cr_RouterTable.h"
+#include "cr_retry/cr_retry.h"
+
+namespace cr {
+
+/** What a child call inherits from the call that its server runs. */
+struct ChildInheritance
+{
+  CallHeader m_parent;
+  Instant m_deadline;
+  /** Attempts drawn from the parent for the child and all calls below it. */
+  std::uint32_t m_grant = 0;
+};
+
+/** A child call ended; the parent gets back what was not spent. */
+struct ChildEnded
+{
+  GateToken m_parent;
+  std::uint32_t m_unspent = 0;
+};
+
+/** What a flow asks for: actions, and news for the gate of the same node. */
+struct FlowOutput
+{
+  Actions m_actions;
+  std::vector<ChildEnded> m_ended;
+};
+
+/** Carries calls from their arrival at this node, from a customer or from the
+    host's own backend server, through their attempts to their answer.
+
+    One shard of the node's calls; not thread safe. */
+class EntryFlow
+{
+public:
+  /** The references must outlive the flow. */
+  EntryFlow(const NodeIdentity& aIdentity,
+            std::size_t aShard,
+            RouterTable& aRouters,
+            const ConfigurationHolder& aConfiguration);
+
+  //==========================================================================
+  /** Starts a customer's call. */
+  void Start(const CustomerCall& aCall, Moment aMoment, FlowOutput& aOutput);
+
+  /** Starts a child call with what its parent hands down. */
+  void Start(const ChildCall& aCall,
+             const ChildInheritance& aInheritance,
+             Moment aMoment,
+             FlowOutput& aOutput);
+
+  /** The caller is gone: the call and the work below it are cancelled. */
+  void Handle(const CallerGone& aEvent, Moment aMoment, FlowOutput& aOutput);
+
+  /** An attempt was answered. */
+  void Handle(const AttemptAnswered& aEvent,
+              Moment aMoment,
+              FlowOutput& aOutput);
+
+  /** An attempt brought no answer. */
+  void Handle(const AttemptFailed& aEvent, Moment aMoment, FlowOutput& aOutput);
+
+  /** A withdrawal was answered. */
+  void Handle(const WithdrawAnswered& aEvent,
+              Moment aMoment,
+              FlowOutput& aOutput);
+
+  //==========================================================================
+  /** Returns the number of calls in progress. */
+  std::size_t Size() const { return m_calls.size(); }
+
+private:
+  struct Attempt
+  {
+    AttemptId m_id;
+    RouteTarget m_target;
+    Instant m_started;
+  };
+
+  struct Call
+  {
+    CallId m_id{};
+    CallHeader m_header;
+    bool m_idempotent = false;
+    PayloadPointer m_payload;
+    Instant m_deadline;
+    std::optional<GateToken> m_parent;
+    AttemptLedger m_ledger;
+    std::vector<HostName> m_tried;
+    std::optional<Attempt> m_attempt;
+    /** An earlier attempt may have run. */
+    bool m_mayHaveRun = false;
+    Reason m_lastReason = Reason::NoServer;
+  };
+
+  void TryNext(Call& aCall, Moment aMoment, FlowOutput& aOutput);
+  void RetryOrEnd(Call& aCall, Moment aMoment, FlowOutput& aOutput);
+  void EndUnanswered(Call& aCall, Reason aReason, FlowOutput& aOutput);
+  void End(Call& aCall,
+           const CallReport& aReport,
+           PayloadPointer aPayload,
+           FlowOutput& aOutput);
+  void ReportAttempt(const Call& aCall,
+                     const AttemptResult& aResult,
+                     Instant aNow);
+  Call* FindByAttempt(const AttemptId& aAttempt);
+  AttemptId NextAttemptId();
+
+  const NodeIdentity& m_identity;
+  std::size_t m_shard;
+  RouterTable& m_routers;
+  const ConfigurationHolder& m_configuration;
+  std::uint64_t m_sequence = 0;
+  std::unordered_map<CallId, Call> m_calls;
+  std::unordered_map<AttemptId, CallId> m_attempts;
+};
+
+}
--- /dev/null
+++ b/modules/cr_node/flow/cr_GateFlow.cpp
@@ -0,0 +1,330 @@
+#include "cr_node/flow/cr_GateFlow.h"
+
+#include <algorithm>
+
+namespace cr {
+
+namespace {
+
+constexpr Duration kServerLapse = Seconds(3);
+constexpr std::size_t kTombstoneLimit = 65536;
+constexpr std::size_t kEndedLimit = 65536;
+
+void
+Remember(std::unordered_set<AttemptId>& aSet,
+         std::deque<AttemptId>& aOrder,
+         std::size_t aLimit,
+         const AttemptId& aAttempt)
+{
+  if (!aSet.insert(aAttempt).second) {
+    return;
+  }
+  aOrder.push_back(aAttempt);
+  if (aOrder.size() > aLimit) {
+    aSet.erase(aOrder.front());
+    aOrder.pop_front();
+  }
+}
+
+}
+
+GateFlow::GateFlow(const NodeIdentity& aIdentity,
+                   const ConfigurationHolder& aConfiguration)
+  : m_identity(aIdentity)
+  , m_configuration(aConfiguration)
+  , m_random(Hash("gate", aIdentity.m_seed))
+{
+}
+
+void
+GateFlow::Handle(const PeerCall& aEvent, Moment aMoment, FlowOutput& aOutput)
+{
+  Call call;
+  call.m_attempt = aEvent.m_attempt;
+  call.m_header = aEvent.m_header;
+  call.m_payload = aEvent.m_payload;
+  call.m_deadline = aMoment.m_now + aEvent.m_header.m_remaining;
+  call.m_ledger = AttemptLedger(
+    aEvent.m_header.m_grant > 0 ? aEvent.m_header.m_grant - 1 : 0);
+  m_calls.emplace(aEvent.m_call, std::move(call));
+  if (m_tombstones.contains(aEvent.m_attempt)) {
+    Refuse(aEvent.m_call, Reason::Withdrawn, aOutput);
+    return;
+  }
+  if (m_server.m_service != aEvent.m_header.m_operation.m_service ||
+      m_server.m_state != ServerState::Ready) {
+    Refuse(aEvent.m_call,
+           m_server.m_state == ServerState::Leaving ? Reason::Leaving
+                                                    : Reason::NoServer,
+           aOutput);
+    return;
+  }
+  m_attempts.emplace(aEvent.m_attempt, aEvent.m_call);
+  GateDecisions decisions;
+  m_gate.Offer({ aEvent.m_call,
+                 aEvent.m_header.m_request,
+                 aEvent.m_header.m_operation,
+                 aEvent.m_header.m_importance,
+                 aEvent.m_header.m_depth > 0,
+                 aMoment.m_now + aEvent.m_header.m_remaining },
+               aMoment.m_now,
+               decisions);
+  Carry(decisions, aMoment, aOutput);
+}
+
+void
+GateFlow::Handle(const CallerGone& aEvent, Moment aMoment, FlowOutput& aOutput)
+{
+  const auto call = m_calls.find(aEvent.m_call);
+  if (call == m_calls.end()) {
+    return;
+  }
+  call->second.m_callerGone = true;
+  if (call->second.m_handedOver) {
+    aOutput.m_actions.emplace_back(CancelHandOver{ aEvent.m_call });
+    return;
+  }
+  m_gate.Withdraw(aEvent.m_call);
+  Bury(call->second.m_attempt);
+  Forget(aEvent.m_call);
+  GateDecisions decisions;
+  m_gate.Advance(aMoment.m_now, decisions);
+  Carry(decisions, aMoment, aOutput);
+}
+
+void
+GateFlow::Handle(const WithdrawAsked& aEvent,
+                 Moment /*aMoment*/,
+                 FlowOutput& aOutput)
+{
+  AnswerWithdraw answer{ aEvent.m_call, WithdrawResult::Unknown };
+  const auto attempt = m_attempts.find(aEvent.m_attempt);
+  if (aEvent.m_incarnation != m_identity.m_incarnation) {
+    answer.m_result = WithdrawResult::Unknown;
+  } else if (attempt != m_attempts.end()) {
+    const CallId id = attempt->second;
+    if (m_gate.Withdraw(id)) {
+      Refuse(id, Reason::Withdrawn, aOutput);
+      Bury(aEvent.m_attempt);
+      answer.m_result = WithdrawResult::NotRun;
+    } else {
+      answer.m_result = WithdrawResult::Ran;
+    }
+  } else if (m_ended.contains(aEvent.m_attempt)) {
+    answer.m_result = WithdrawResult::Ran;
+  } else {
+    Bury(aEvent.m_attempt);
+    answer.m_result = WithdrawResult::NotRun;
+  }
+  aOutput.m_actions.emplace_back(answer);
+}
+
+void
+GateFlow::Handle(const ServerAnnounced& aEvent,
+                 Moment aMoment,
+                 FlowOutput& aOutput)
+{
+  m_server.m_service = aEvent.m_service;
+  m_server.m_endpoint = aEvent.m_endpoint;
+  m_server.m_slots = aEvent.m_slots;
+  m_server.m_instance = aEvent.m_instance;
+  m_server.m_renewed = aMoment.m_now;
+  if (m_shuttingDown || aEvent.m_leaving) {
+    CloseServer(ServerState::Leaving, Reason::Leaving, aOutput);
+    return;
+  }
+  m_server.m_state = ServerState::Ready;
+  GateDecisions decisions;
+  m_gate.Open(aEvent.m_slots, aMoment.m_now, decisions);
+  Carry(decisions, aMoment, aOutput);
+}
+
+void
+GateFlow::Handle(const ServerAnswered& aEvent,
+                 Moment aMoment,
+                 FlowOutput& aOutput)
+{
+  const auto call = m_calls.find(aEvent.m_call);
+  if (call == m_calls.end()) {
+    return;
+  }
+  CallReport report;
+  report.m_outcome = Outcome::Completed;
+  report.m_status = aEvent.m_status;
+  report.m_unspent = call->second.m_ledger.Available();
+  Answer(aEvent.m_call, report, aEvent.m_payload, aOutput);
+  GateDecisions decisions;
+  m_gate.Finish(aEvent.m_call, aMoment.m_now, decisions);
+  Carry(decisions, aMoment, aOutput);
+}
+
+void
+GateFlow::Handle(const ServerFailed& aEvent,
+                 Moment aMoment,
+                 FlowOutput& aOutput)
+{
+  const auto call = m_calls.find(aEvent.m_call);
+  if (call == m_calls.end()) {
+    return;
+  }
+  CallReport report;
+  report.m_outcome = aEvent.m_sent ? Outcome::Unknown : Outcome::NotRun;
+  report.m_reason = aEvent.m_sent ? Reason::ServerFailed : Reason::NoServer;
+  report.m_unspent = call->second.m_ledger.Available();
+  Answer(aEvent.m_call, report, nullptr, aOutput);
+  GateDecisions decisions;
+  m_gate.Finish(aEvent.m_call, aMoment.m_now, decisions);
+  Carry(decisions, aMoment, aOutput);
+  if (aEvent.m_refused) {
+    CloseServer(ServerState::Absent, Reason::NoServer, aOutput);
+  }
+}
+
+void
+GateFlow::Handle(const ShutdownAsked& /*aEvent*/,
+                 Moment /*aMoment*/,
+                 FlowOutput& aOutput)
+{
+  m_shuttingDown = true;
+  CloseServer(ServerState::Leaving, Reason::Leaving, aOutput);
+}
+
+void
+GateFlow::Advance(Moment aMoment, FlowOutput& aOutput)
+{
+  if (m_server.m_state == ServerState::Ready &&
+      aMoment.m_now - m_server.m_renewed >= kServerLapse) {
+    CloseServer(ServerState::Absent, Reason::NoServer, aOutput);
+  }
+  GateDecisions decisions;
+  m_gate.Advance(aMoment.m_now, decisions);
+  Carry(decisions, aMoment, aOutput);
+}
+
+std::optional<ChildInheritance>
+GateFlow::Inherit(const GateToken& aParent, const OperationName& aChild)
+{
+  const auto token = m_tokens.find(aParent);
+  if (token == m_tokens.end()) {
+    return std::nullopt;
+  }
+  Call& parent = m_calls.at(token->second);
+  if (parent.m_callerGone) {
+    return std::nullopt;
+  }
+  const std::uint32_t wanted = m_configuration.Current()->FirstTries(aChild);
+  return ChildInheritance{ parent.m_header,
+                           parent.m_deadline,
+                           parent.m_ledger.Draw(wanted) };
+}
+
+void
+GateFlow::TakeBack(const ChildEnded& aEnded)
+{
+  const auto token = m_tokens.find(aEnded.m_parent);
+  if (token != m_tokens.end()) {
+    m_calls.at(token->second).m_ledger.Return(aEnded.m_unspent);
+  }
+}
+
+std::optional<Instant>
+GateFlow::NextDue() const
+{
+  auto due = m_gate.NextDue();
+  if (m_server.m_state == ServerState::Ready) {
+    const Instant lapse = m_server.m_renewed + kServerLapse;
+    due = due ? std::min(*due, lapse) : lapse;
+  }
+  return due;
+}
+
+void
+GateFlow::Carry(const GateDecisions& aDecisions,
+                Moment aMoment,
+                FlowOutput& aOutput)
+{
+  for (const GateDecision& decision : aDecisions) {
+    if (const auto* handOver = std::get_if<GateHandOver>(&decision)) {
+      HandOverCall(handOver->m_call, aMoment, aOutput);
+    } else if (const auto* refusal = std::get_if<GateRefusal>(&decision)) {
+      Refuse(refusal->m_call, refusal->m_reason, aOutput);
+    }
+  }
+}
+
+void
+GateFlow::HandOverCall(CallId aCall, Moment aMoment, FlowOutput& aOutput)
+{
+  Call& call = m_calls.at(aCall);
+  call.m_handedOver = true;
+  call.m_token = NextToken();
+  m_tokens.emplace(call.m_token, aCall);
+  CallHeader header = call.m_header;
+  header.m_remaining = call.m_deadline - aMoment.m_now;
+  aOutput.m_actions.emplace_back(HandOver{ aCall,
+                                           m_server.m_endpoint,
+                                           call.m_token,
+                                           std::move(header),
+                                           std::move(call.m_payload) });
+}
+
+void
+GateFlow::Answer(CallId aId,
+                 const CallReport& aReport,
+                 PayloadPointer aPayload,
+                 FlowOutput& aOutput)
+{
+  const Call& call = m_calls.at(aId);
+  CallReport report = aReport;
+  report.m_level = m_gate.Level();
+  report.m_generation = m_configuration.Current()->m_generation;
+  aOutput.m_actions.emplace_back(
+    AnswerCall{ aId, call.m_header.m_request, report, std::move(aPayload) });
+  if (call.m_handedOver) {
+    Remember(m_ended, m_endedOrder, kEndedLimit, call.m_attempt);
+  }
+  Forget(aId);
+}
+
+void
+GateFlow::Refuse(CallId aCall, Reason aReason, FlowOutput& aOutput)
+{
+  CallReport report;
+  report.m_outcome = Outcome::NotRun;
+  report.m_reason = aReason;
+  report.m_unspent = m_calls.at(aCall).m_ledger.Available();
+  Answer(aCall, report, nullptr, aOutput);
+}
+
+void
+GateFlow::CloseServer(ServerState aState, Reason aReason, FlowOutput& aOutput)
+{
+  m_server.m_state = aState;
+  GateDecisions decisions;
+  m_gate.Close(aReason, decisions);
+  Carry(decisions, {}, aOutput);
+}
+
+void
+GateFlow::Forget(CallId aCall)
+{
+  const auto call = m_calls.find(aCall);
+  m_attempts.erase(call->second.m_attempt);
+  m_tokens.erase(call->second.m_token);
+  m_calls.erase(call);
+}
+
+void
+GateFlow::Bury(const AttemptId& aAttempt)
+{
+  Remember(m_tombstones, m_tombstoneOrder, kTombstoneLimit, aAttempt);
+}
+
+GateToken
+GateFlow::NextToken()
+{
+  const std::uint64_t high = m_random.Next();
+  return { high, m_random.Next() };
+}
+
+}
--- /dev/null
+++ b/modules/cr_node/flow/cr_GateFlow.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <deque>
+#include <optional>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "cr_admission/cr_admission.h"
+#include "cr_membership/cr_membership.h"
+#include "cr_node/flow/cr_EntryFlow.h"
+
+namespace cr {
+
+/** What the node knows of its host's backend server. */
+struct ServerView
+{
+  std::string m_service;
+  Endpoint m_endpoint;
+  std::uint32_t m_slots = 0;
+  std::uint64_t m_instance = 0;
+  ServerState m_state = ServerState::Absent;
+  Instant m_renewed;
+};
+
+/** The gate of a node's backend server, with the calls that wait, run or ended
+    lately and the attempts that running calls may still make.
+
+    Not thread safe. */
+class GateFlow
+{
+public:
+  /** The references must outlive the flow. */
+  GateFlow(const NodeIdentity& aIdentity,
+           const ConfigurationHolder& aConfiguration);
+
+  //==========================================================================
+  /** Another node forwards a call. */
+  void Handle(const PeerCall& aEvent, Moment aMoment, FlowOutput& aOutput);
+
+  /** The node that forwarded a call closed its connection. */
+  void Handle(const CallerGone& aEvent, Moment aMoment, FlowOutput& aOutput);
+
+  /** Another node withdraws an attempt. */
+  void Handle(const WithdrawAsked& aEvent, Moment aMoment, FlowOutput& aOutput);
+
+  /** The backend server announced itself, renewed or is leaving. */
+  void Handle(const ServerAnnounced& aEvent,
+              Moment aMoment,
+              FlowOutput& aOutput);
+
+  /** The backend server answered. */
+  void Handle(const ServerAnswered& aEvent,
+              Moment aMoment,
+              FlowOutput& aOutput);
+
+  /** The backend server gave no answer. */
+  void Handle(const ServerFailed& aEvent, Moment aMoment, FlowOutput& aOutput);
+
+  /** Closes the gate for good; running calls go on. */
+  void Handle(const ShutdownAsked& aEvent, Moment aMoment, FlowOutput& aOutput);
+
+  /** Does what is due. */
+  void Advance(Moment aMoment, FlowOutput& aOutput);
+
+  /** Hands down to a child call what it inherits, and draws its attempts.
+      Returns nothing when the parent does not run here any more; the grant is 0
+      when too few attempts are left. */
+  std::optional<ChildInheritance> Inherit(const GateToken& aParent,
+                                          const OperationName& aChild);
+
+  /** Takes back what a child did not spend. */
+  void TakeBack(const ChildEnded& aEnded);
+
+  //==========================================================================
+  /** Returns what is known of the backend server. */
+  const ServerView& Server() const { return m_server; }
+
+  /** Returns the gate, for reports. */
+  const Gate& GateState() const { return m_gate; }
+
+  /** Returns the time at which Advance() has something to do. */
+  std::optional<Instant> NextDue() const;
+
+private:
+  struct Call
+  {
+    AttemptId m_attempt;
+    CallHeader m_header;
+    PayloadPointer m_payload;
+    Instant m_deadline;
+    GateToken m_token;
+    AttemptLedger m_ledger;
+    bool m_handedOver = false;
+    bool m_callerGone = false;
+  };
+
+  void Carry(const GateDecisions& aDecisions,
+             Moment aMoment,
+             FlowOutput& aOutput);
+  void HandOverCall(CallId aCall, Moment aMoment, FlowOutput& aOutput);
+  void Answer(CallId aId,
+              const CallReport& aReport,
+              PayloadPointer aPayload,
+              FlowOutput& aOutput);
+  void Refuse(CallId aCall, Reason aReason, FlowOutput& aOutput);
+  void CloseServer(ServerState aState, Reason aReason, FlowOutput& aOutput);
+  void Forget(CallId aCall);
+  void Bury(const AttemptId& aAttempt);
+  GateToken NextToken();
+
+  const NodeIdentity& m_identity;
+  const ConfigurationHolder& m_configuration;
+  Random m_random;
+  Gate m_gate;
+  ServerView m_server;
+  bool m_shuttingDown = false;
+  std::unordered_map<CallId, Call> m_calls;
+  std::unordered_map<AttemptId, CallId> m_attempts;
+  std::unordered_map<GateToken, CallId> m_tokens;
+  /** Withdrawn attempts; a late arrival of one is refused. */
+  std::unordered_set<AttemptId> m_tombstones;
+  /** Ended attempts, to answer late withdrawals. */
+  std::unordered_set<AttemptId> m_ended;
+  std::deque<AttemptId> m_tombstoneOrder;
+  std::deque<AttemptId> m_endedOrder;
+};
+
+}
--- /dev/null
+++ b/modules/cr_node/shared/cr_RouterTable.cpp
@@ -0,0 +1,94 @@
+#include "cr_node/shared/cr_RouterTable.h"
+
+#include <mutex>
+
+namespace cr {
+
+RouterTable::RouterTable(const NodeIdentity& aIdentity)
+  : m_identity(aIdentity)
+{
+}
+
+void
+RouterTable::Update(
+  const std::map<std::string, std::vector<RouteTarget>>& aTargets,
+  Instant aNow)
+{
+  std::map<std::string, RouterPointer, std::less<>> routers;
+  for (const auto& [service, targets] : aTargets) {
+    FindOrAdd(service);
+  }
+  {
+    const std::shared_lock lock(m_mutex);
+    routers = m_routers;
+  }
+  for (const auto& [service, router] : routers) {
+    const auto targets = aTargets.find(service);
+    const auto span = targets == aTargets.end()
+                        ? std::span<const RouteTarget>()
+                        : std::span<const RouteTarget>(targets->second);
+    router->With([&](Router& aRouter) { aRouter.Update(span, aNow); });
+  }
+}
+
+std::optional<RouteTarget>
+RouterTable::Choose(const std::string& aService,
+                    Rank aRank,
+                    std::span<const HostName> aExcluded,
+                    Instant aNow)
+{
+  const RouterPointer router = Find(aService);
+  if (!router) {
+    return std::nullopt;
+  }
+  return router->With(
+    [&](Router& aRouter) { return aRouter.Choose(aRank, aExcluded, aNow); });
+}
+
+void
+RouterTable::Report(const std::string& aService,
+                    const HostName& aHost,
+                    const AttemptResult& aResult,
+                    Instant aNow)
+{
+  if (const RouterPointer router = Find(aService)) {
+    router->With(
+      [&](Router& aRouter) { aRouter.Report(aHost, aResult, aNow); });
+  }
+}
+
+std::map<std::string, std::size_t>
+RouterTable::Sizes() const
+{
+  const std::shared_lock lock(m_mutex);
+  std::map<std::string, std::size_t> sizes;
+  for (const auto& [service, router] : m_routers) {
+    sizes[service] =
+      router->With([](const Router& aRouter) { return aRouter.Size(); });
+  }
+  return sizes;
+}
+
+RouterTable::RouterPointer
+RouterTable::Find(const std::string& aService) const
+{
+  const std::shared_lock lock(m_mutex);
+  const auto router = m_routers.find(aService);
+  return router == m_routers.end() ? nullptr : router->second;
+}
+
+RouterTable::RouterPointer
+RouterTable::FindOrAdd(const std::string& aService)
+{
+  const std::unique_lock lock(m_mutex);
+  RouterPointer& router = m_routers[aService];
+  if (!router) {
+    router =
+      std::make_shared<Guarded<Router>>(m_identity.m_region,
+                                        m_identity.m_dataCentre,
+                                        Hash(aService, m_identity.m_seed));
+  }
+  return router;
+}
+
+}
--- /dev/null
+++ b/modules/cr_node/shared/cr_RouterTable.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <shared_mutex>
+#include <span>
+#include <string>
+
+#include "cr_node/event/cr_NodeIdentity.h"
+#include "cr_routing/cr_routing.h"
+
+namespace cr {
+
+/** The routers of a node, one for each service, each under its own lock.
+
+    Thread safe. */
+class RouterTable
+{
+public:
+  /** Starts without targets. */
+  explicit RouterTable(const NodeIdentity& aIdentity);
+
+  //==========================================================================
+  /** Replaces the targets of every service; services that are not named have
+      none afterwards. */
+  void Update(const std::map<std::string, std::vector<RouteTarget>>& aTargets,
+              Instant aNow);
+
+  /** Chooses a host of the service. @see Router::Choose */
+  std::optional<RouteTarget> Choose(const std::string& aService,
+                                    Rank aRank,
+                                    std::span<const HostName> aExcluded,
+                                    Instant aNow);
+
+  /** Reports the end of an attempt. @see Router::Report */
+  void Report(const std::string& aService,
+              const HostName& aHost,
+              const AttemptResult& aResult,
+              Instant aNow);
+
+  //==========================================================================
+  /** Returns the number of hosts known for each service. */
+  std::map<std::string, std::size_t> Sizes() const;
+
+private:
+  using RouterPointer = std::shared_ptr<Guarded<Router>>;
+
+  RouterPointer Find(const std::string& aService) const;
+  RouterPointer FindOrAdd(const std::string& aService);
+
+  const NodeIdentity& m_identity;
+  mutable std::shared_mutex m_mutex;
+  std::map<std::string, RouterPointer, std::less<>> m_routers;
+};
+
+}
--- /dev/null
+++ b/modules/cr_platform/cr_platform.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/** What the product asks of the platform's transactional table service and
+    object store, as typed requests and answers, with their JSON codec and an
+    in-process platform that answers them from memory.
+
+    @see StoreRequest, StoreAnswer, InProcessPlatform */
+
+#include "cr_platform/codec/cr_StoreCodec.h"
+#include "cr_platform/table/cr_InProcessPlatform.h"
+#include "cr_platform/table/cr_StoreRequest.h"
--- /dev/null
+++ b/modules/cr_platform/table/cr_InProcessPlatform.cpp
@@ -0,0 +1,93 @@
+#include "cr_platform/table/cr_InProcessPlatform.h"
+
+namespace cr {
+
+StoreAnswer
+InProcessPlatform::Execute(const StoreRequest& aRequest)
+{
+  const std::lock_guard lock(m_mutex);
+  return std::visit(
+    [this](const auto& aTyped) -> StoreAnswer { return Do(aTyped); }, aRequest);
+}
+
+StoreAnswer
+InProcessPlatform::Do(const TransactRequest& aRequest)
+{
+  ConditionFailed failed;
+  for (const RowCondition& condition : aRequest.m_conditions) {
+    const RowVersion version = VersionOf(condition.m_row);
+    if (version != condition.m_version) {
+      failed.m_found.push_back({ condition.m_row, version });
+    }
+  }
+  if (!failed.m_found.empty()) {
+    return failed;
+  }
+  for (const RowWrite& write : aRequest.m_writes) {
+    if (!write.m_value) {
+      m_rows.erase(write.m_row);
+      continue;
+    }
+    m_rows[write.m_row] = { write.m_row.m_key,
+                            *write.m_value,
+                            ++m_lastVersion };
+  }
+  return Committed{};
+}
+
+StoreAnswer
+InProcessPlatform::Do(const ScanRequest& aRequest) const
+{
+  RowPage page;
+  const std::string& from = std::max(aRequest.m_after, aRequest.m_prefix);
+  auto row = m_rows.lower_bound({ aRequest.m_table, from });
+  for (; row != m_rows.end() && row->first.m_table == aRequest.m_table &&
+         row->first.m_key.starts_with(aRequest.m_prefix);
+       ++row) {
+    if (row->first.m_key == aRequest.m_after) {
+      continue;
+    }
+    if (page.m_rows.size() == aRequest.m_limit) {
+      page.m_more = true;
+      break;
+    }
+    page.m_rows.push_back(row->second);
+  }
+  return page;
+}
+
+StoreAnswer
+InProcessPlatform::Do(const ReadRequest& aRequest) const
+{
+  const auto row = m_rows.find(aRequest.m_row);
+  if (row == m_rows.end()) {
+    return RowFound{};
+  }
+  return RowFound{ row->second };
+}
+
+StoreAnswer
+InProcessPlatform::Do(const PutObjectRequest& aRequest)
+{
+  m_objects.emplace(aRequest.m_name, aRequest.m_content);
+  return Committed{};
+}
+
+StoreAnswer
+InProcessPlatform::Do(const GetObjectRequest& aRequest) const
+{
+  const auto object = m_objects.find(aRequest.m_name);
+  if (object == m_objects.end()) {
+    return ObjectFound{};
+  }
+  return ObjectFound{ object->second };
+}
+
+RowVersion
+InProcessPlatform::VersionOf(const RowKey& aRow) const
+{
+  const auto row = m_rows.find(aRow);
+  return row == m_rows.end() ? 0 : row->second.m_version;
+}
+
+}
--- /dev/null
+++ b/modules/cr_process/report/cr_Log.cpp
@@ -0,0 +1,15 @@
+#include "cr_process/report/cr_Log.h"
+
+#include <cstdio>
+
+#include <fmt/format.h>
+
+namespace cr {
+
+void
+Log(std::string_view aPart, std::string_view aText)
+{
+  fmt::print(stderr, "[{}] {}\n", aPart, aText);
+}
+
+}
--- /dev/null
+++ b/modules/cr_process/report/cr_StatusReport.cpp
@@ -0,0 +1,48 @@
+#include "cr_process/report/cr_StatusReport.h"
+
+#include <array>
+
+namespace cr {
+
+namespace {
+
+constexpr std::array<std::string_view, 3> kStateNames = { "absent",
+                                                          "ready",
+                                                          "leaving" };
+
+Json::Value
+Encode(const ServerView& aServer)
+{
+  Json::Value value(Json::objectValue);
+  value["service"] = aServer.m_service;
+  value["endpoint"] = ToText(aServer.m_endpoint);
+  value["slots"] = aServer.m_slots;
+  value["state"] =
+    std::string(kStateNames.at(static_cast<std::size_t>(aServer.m_state)));
+  return value;
+}
+
+}
+
+std::string
+EncodeStatus(const NodeStatus& aStatus)
+{
+  Json::Value value(Json::objectValue);
+  value["host"] = aStatus.m_host;
+  value["incarnation"] =
+    Json::UInt64(static_cast<std::uint64_t>(aStatus.m_incarnation));
+  value["generation"] = Json::UInt64(aStatus.m_generation);
+  value["server"] = Encode(aStatus.m_server);
+  value["running"] = Json::UInt64(aStatus.m_running);
+  value["waiting"] = Json::UInt64(aStatus.m_waiting);
+  value["admission_level"] = aStatus.m_level;
+  value["entry_calls"] = Json::UInt64(aStatus.m_entryCalls);
+  value["known_nodes"] = Json::UInt64(aStatus.m_knownNodes);
+  value["hosts"] = Json::Value(Json::objectValue);
+  for (const auto& [service, count] : aStatus.m_hosts) {
+    value["hosts"][service] = Json::UInt64(count);
+  }
+  return WriteJson(value);
+}
+
+}
--- /dev/null
+++ b/modules/cr_process/wire/cr_CallWire.cpp
@@ -0,0 +1,378 @@
+#include "cr_process/wire/cr_CallWire.h"
+
+#include <charconv>
+#include <limits>
+
+#include <fmt/format.h>
+
+namespace cr {
+
+namespace {
+
+constexpr std::string_view kImportanceHeader = "Cr-Importance";
+constexpr std::string_view kGrantHeader = "Cr-Grant";
+constexpr std::string_view kDepthHeader = "Cr-Depth";
+constexpr std::string_view kAttemptHeader = "Cr-Attempt";
+constexpr std::string_view kGenerationHeader = "Cr-Generation";
+constexpr std::string_view kUnspentHeader = "Cr-Unspent";
+constexpr std::string_view kLevelHeader = "Cr-Level";
+constexpr std::string_view kContentTypeHeader = "Content-Type";
+constexpr std::uint64_t kLongestPatienceMs = 600000;
+constexpr std::uint64_t kGreatestGrant = 1024;
+constexpr std::uint64_t kGreatestDepth = 64;
+
+tl::unexpected<Error>
+Malformed(std::string_view aHeader)
+{
+  return Failure(ErrorCode::Malformed,
+                 fmt::format("header {} is missing or malformed", aHeader));
+}
+
+Expected<std::uint64_t>
+ReadNumber(const HttpHeaders& aHeaders,
+           std::string_view aName,
+           std::uint64_t aGreatest)
+{
+  const std::string_view text = FindHeader(aHeaders, aName);
+  std::uint64_t number = 0;
+  const auto* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, number);
+  if (text.empty() || result.ec != std::errc() || result.ptr != end ||
+      number > aGreatest) {
+    return Malformed(aName);
+  }
+  return number;
+}
+
+template<typename Tag>
+Expected<Identifier<Tag>>
+ReadIdentifier(const HttpHeaders& aHeaders, std::string_view aName)
+{
+  const auto identifier = ParseIdentifier<Tag>(FindHeader(aHeaders, aName));
+  if (!identifier) {
+    return Malformed(aName);
+  }
+  return *identifier;
+}
+
+Expected<std::optional<IdempotencyKey>>
+ReadKey(const HttpHeaders& aHeaders)
+{
+  if (FindHeader(aHeaders, kKeyHeader).empty()) {
+    return std::optional<IdempotencyKey>();
+  }
+  const auto key = ReadIdentifier<IdempotencyTag>(aHeaders, kKeyHeader);
+  if (!key || !BirthTime(*key)) {
+    return Failure(ErrorCode::Malformed,
+                   "header Idempotency-Key must be a UUID version 7");
+  }
+  return std::optional(*key);
+}
+
+Expected<std::optional<Duration>>
+ReadPatience(const HttpHeaders& aHeaders)
+{
+  if (FindHeader(aHeaders, kRemainingHeader).empty()) {
+    return std::optional<Duration>();
+  }
+  const auto number =
+    ReadNumber(aHeaders, kRemainingHeader, kLongestPatienceMs);
+  if (!number || *number == 0) {
+    return Malformed(kRemainingHeader);
+  }
+  return std::optional(Milliseconds(static_cast<std::int64_t>(*number)));
+}
+
+PayloadPointer
+ReadPayload(const HttpHeaders& aHeaders, std::string aBody)
+{
+  return std::make_shared<Payload>(Payload{
+    std::string(FindHeader(aHeaders, kContentTypeHeader)), std::move(aBody) });
+}
+
+void
+Add(HttpHeaders& aHeaders, std::string_view aName, std::string aValue)
+{
+  aHeaders.push_back({ std::string(aName), std::move(aValue) });
+}
+
+void
+AddPayload(HttpHeaders& aHeaders,
+           std::string& aBody,
+           const PayloadPointer& aPayload)
+{
+  if (!aPayload) {
+    return;
+  }
+  if (!aPayload->m_contentType.empty()) {
+    Add(aHeaders, kContentTypeHeader, aPayload->m_contentType);
+  }
+  aBody = aPayload->m_body;
+}
+
+/* Microseconds travel between nodes, so that a deep chain loses nothing to
+   rounding. */
+std::string
+RemainingText(const CallHeader& aHeader)
+{
+  return std::to_string(aHeader.m_remaining.count());
+}
+
+constexpr std::string_view kRemainingMicrosecondsHeader = "Cr-Remaining-Us";
+
+unsigned
+StatusFor(const CallReport& aReport)
+{
+  if (aReport.m_outcome == Outcome::Completed) {
+    return aReport.m_status;
+  }
+  if (aReport.m_outcome == Outcome::Unknown) {
+    return kHttpGatewayTimeout;
+  }
+  switch (aReport.m_reason) {
+    case Reason::Malformed:
+    case Reason::KeyMissing:
+      return kHttpBadRequest;
+    case Reason::UnknownService:
+      return kHttpNotFound;
+    default:
+      return kHttpUnavailable;
+  }
+}
+
+HttpRequest
+CallRequest(const OperationName& aOperation)
+{
+  HttpRequest request;
+  request.m_method = "POST";
+  request.m_target = std::string(kCallPrefix) + ToText(aOperation);
+  return request;
+}
+
+}
+
+Expected<OperationName>
+ParseCallTarget(std::string_view aTarget)
+{
+  if (!aTarget.starts_with(kCallPrefix)) {
+    return Failure(ErrorCode::NotFound, "no such path");
+  }
+  const std::string_view rest = aTarget.substr(kCallPrefix.size());
+  const auto slash = rest.find('/');
+  if (slash == std::string_view::npos || slash == 0 ||
+      slash + 1 == rest.size() ||
+      rest.find('/', slash + 1) != std::string_view::npos) {
+    return Failure(ErrorCode::Malformed,
+                   "the path must be /call/<service>/<operation>");
+  }
+  return OperationName{ std::string(rest.substr(0, slash)),
+                        std::string(rest.substr(slash + 1)) };
+}
+
+Expected<CustomerCall>
+ParseCustomerCall(const HttpRequest& aRequest, const RequestId& aFallback)
+{
+  const auto operation = ParseCallTarget(aRequest.m_target);
+  if (!operation) {
+    return tl::unexpected(operation.error());
+  }
+  const auto key = ReadKey(aRequest.m_headers);
+  if (!key) {
+    return tl::unexpected(key.error());
+  }
+  const auto patience = ReadPatience(aRequest.m_headers);
+  if (!patience) {
+    return tl::unexpected(patience.error());
+  }
+  CustomerCall call{ {}, *operation, aFallback, *key, *patience, nullptr };
+  if (!FindHeader(aRequest.m_headers, kRequestHeader).empty()) {
+    const auto request =
+      ReadIdentifier<RequestTag>(aRequest.m_headers, kRequestHeader);
+    if (!request) {
+      return tl::unexpected(request.error());
+    }
+    call.m_request = *request;
+  }
+  call.m_payload = ReadPayload(aRequest.m_headers, aRequest.m_body);
+  return call;
+}
+
+Expected<ChildCall>
+ParseChildCall(const HttpRequest& aRequest)
+{
+  const auto call = ParseCustomerCall(aRequest, {});
+  if (!call) {
+    return tl::unexpected(call.error());
+  }
+  const auto token =
+    ReadIdentifier<GateTokenTag>(aRequest.m_headers, kTokenHeader);
+  if (!token) {
+    return tl::unexpected(token.error());
+  }
+  return ChildCall{ {},          *token,           call->m_operation,
+                    call->m_key, call->m_patience, call->m_payload };
+}
+
+Expected<PeerCall>
+ParsePeerCall(const HttpRequest& aRequest)
+{
+  const HttpHeaders& headers = aRequest.m_headers;
+  const auto operation = ParseCallTarget(aRequest.m_target);
+  const auto request = ReadIdentifier<RequestTag>(headers, kRequestHeader);
+  const auto attempt = ReadIdentifier<AttemptTag>(headers, kAttemptHeader);
+  const auto key = ReadKey(headers);
+  const auto importance =
+    ParseImportance(FindHeader(headers, kImportanceHeader));
+  const auto remaining = ReadNumber(
+    headers, kRemainingMicrosecondsHeader, kLongestPatienceMs * 1000);
+  const auto grant = ReadNumber(headers, kGrantHeader, kGreatestGrant);
+  const auto depth = ReadNumber(headers, kDepthHeader, kGreatestDepth);
+  const auto generation = ReadNumber(
+    headers, kGenerationHeader, std::numeric_limits<std::uint64_t>::max());
+  if (!operation || !request || !attempt || !key || !importance || !remaining ||
+      !grant || !depth || !generation) {
+    return Failure(ErrorCode::Malformed,
+                   "a forwarded call lacks headers or has malformed ones");
+  }
+  PeerCall call;
+  call.m_attempt = *attempt;
+  call.m_header = { *request,
+                    *operation,
+                    *importance,
+                    *key,
+                    Duration(static_cast<Duration::rep>(*remaining)),
+                    static_cast<std::uint32_t>(*grant),
+                    static_cast<std::uint32_t>(*depth),
+                    *generation };
+  call.m_payload = ReadPayload(headers, aRequest.m_body);
+  return call;
+}
+
+HttpRequest
+WriteForwardCall(const ForwardCall& aCall)
+{
+  const CallHeader& header = aCall.m_header;
+  HttpRequest request = CallRequest(header.m_operation);
+  HttpHeaders& headers = request.m_headers;
+  Add(headers, kRequestHeader, ToText(header.m_request));
+  Add(headers, kAttemptHeader, ToText(aCall.m_attempt));
+  if (header.m_key) {
+    Add(headers, kKeyHeader, ToText(*header.m_key));
+  }
+  Add(headers, kImportanceHeader, std::string(ToText(header.m_importance)));
+  Add(headers, kRemainingMicrosecondsHeader, RemainingText(header));
+  Add(headers, kGrantHeader, std::to_string(header.m_grant));
+  Add(headers, kDepthHeader, std::to_string(header.m_depth));
+  Add(headers, kGenerationHeader, std::to_string(header.m_generation));
+  AddPayload(headers, request.m_body, aCall.m_payload);
+  return request;
+}
+
+HttpRequest
+WriteHandOver(const HandOver& aCall)
+{
+  const CallHeader& header = aCall.m_header;
+  HttpRequest request = CallRequest(header.m_operation);
+  HttpHeaders& headers = request.m_headers;
+  Add(headers, kRequestHeader, ToText(header.m_request));
+  Add(headers, kTokenHeader, ToText(aCall.m_token));
+  if (header.m_key) {
+    Add(headers, kKeyHeader, ToText(*header.m_key));
+  }
+  Add(headers, kImportanceHeader, std::string(ToText(header.m_importance)));
+  Add(headers,
+      kRemainingHeader,
+      std::to_string(ToMilliseconds(header.m_remaining)));
+  AddPayload(headers, request.m_body, aCall.m_payload);
+  return request;
+}
+
+HttpResponse
+WriteAnswer(const AnswerCall& aAnswer)
+{
+  HttpResponse response;
+  response.m_status = StatusFor(aAnswer.m_report);
+  HttpHeaders& headers = response.m_headers;
+  Add(headers, kRequestHeader, ToText(aAnswer.m_request));
+  Add(headers, kOutcomeHeader, std::string(ToText(aAnswer.m_report.m_outcome)));
+  if (aAnswer.m_report.m_reason != Reason::None) {
+    Add(headers, kReasonHeader, std::string(ToText(aAnswer.m_report.m_reason)));
+  }
+  AddPayload(headers, response.m_body, aAnswer.m_payload);
+  return response;
+}
+
+HttpResponse
+WritePeerAnswer(const AnswerCall& aAnswer)
+{
+  const CallReport& report = aAnswer.m_report;
+  HttpResponse response = WriteAnswer(aAnswer);
+  response.m_status =
+    report.m_outcome == Outcome::Completed ? report.m_status : kHttpUnavailable;
+  HttpHeaders& headers = response.m_headers;
+  Add(headers, kUnspentHeader, std::to_string(report.m_unspent));
+  Add(headers, kLevelHeader, std::to_string(report.m_level));
+  Add(headers, kGenerationHeader, std::to_string(report.m_generation));
+  return response;
+}
+
+Expected<AttemptAnswered>
+ParsePeerAnswer(const AttemptId& aAttempt,
+                const RequestId& aRequest,
+                HttpResponse&& aResponse)
+{
+  const HttpHeaders& headers = aResponse.m_headers;
+  const auto request = ReadIdentifier<RequestTag>(headers, kRequestHeader);
+  const auto outcome = ParseOutcome(FindHeader(headers, kOutcomeHeader));
+  const auto unspent = ReadNumber(headers, kUnspentHeader, kGreatestGrant);
+  const auto level = ReadNumber(
+    headers, kLevelHeader, std::numeric_limits<AdmissionLevel>::max());
+  const auto generation = ReadNumber(
+    headers, kGenerationHeader, std::numeric_limits<std::uint64_t>::max());
+  if (!request || *request != aRequest || !outcome || !unspent || !level ||
+      !generation) {
+    return Failure(ErrorCode::Malformed,
+                   "an answer lacks headers or belongs to another request");
+  }
+  const std::string_view reason = FindHeader(headers, kReasonHeader);
+  AttemptAnswered answer;
+  answer.m_attempt = aAttempt;
+  answer.m_report = { *outcome,
+                      ParseReason(reason).value_or(Reason::None),
+                      aResponse.m_status,
+                      static_cast<std::uint32_t>(*unspent),
+                      static_cast<AdmissionLevel>(*level),
+                      *generation };
+  answer.m_payload = ReadPayload(headers, std::move(aResponse.m_body));
+  return answer;
+}
+
+Expected<ServerAnnounced>
+ParseAnnouncement(const HttpRequest& aRequest)
+{
+  constexpr IntegerRange slotRange = { 1, 100000 };
+  constexpr IntegerRange instanceRange = {
+    0, std::numeric_limits<std::int64_t>::max()
+  };
+  Findings findings;
+  const JsonDocument document("announcement", aRequest.m_body, findings);
+  ServerAnnounced announced;
+  if (findings.empty()) {
+    ObjectReader reader(document, document.Root(), findings);
+    announced.m_service = reader.ReadText("service");
+    announced.m_endpoint =
+      ParseEndpoint(document, reader.ReadValue("endpoint"), findings);
+    announced.m_slots =
+      static_cast<std::uint32_t>(reader.ReadInteger("slots", slotRange));
+    announced.m_instance =
+      static_cast<std::uint64_t>(reader.ReadInteger("instance", instanceRange));
+    announced.m_leaving = reader.ReadBoolean("leaving", false);
+    reader.Finish();
+  }
+  if (!findings.empty()) {
+    return Failure(ErrorCode::Malformed, ToText(findings));
+  }
+  return announced;
+}
+
+}
--- /dev/null
+++ b/modules/cr_transport/http/cr_HttpClient.cpp
@@ -0,0 +1,359 @@
+#include "cr_transport/http/cr_HttpClient.h"
+
+#include <future>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace cr {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = boost::asio::ip::tcp;
+
+constexpr unsigned kHttpVersion = 11;
+
+http::request<http::string_body>
+ToMessage(HttpRequest&& aRequest, const Endpoint& aEndpoint)
+{
+  http::request<http::string_body> message;
+  message.version(kHttpVersion);
+  message.method_string(aRequest.m_method);
+  message.target(aRequest.m_target);
+  message.set(http::field::host, ToText(aEndpoint));
+  for (const HttpHeader& header : aRequest.m_headers) {
+    message.set(header.m_name, header.m_value);
+  }
+  message.body() = std::move(aRequest.m_body);
+  message.keep_alive(true);
+  message.prepare_payload();
+  return message;
+}
+
+HttpResponse
+ToResponse(http::response<http::string_body>&& aMessage)
+{
+  HttpResponse response;
+  response.m_status = aMessage.result_int();
+  for (const auto& field : aMessage) {
+    response.m_headers.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  response.m_body = std::move(aMessage.body());
+  return response;
+}
+
+struct Connection
+{
+  explicit Connection(asio::io_context& aContext)
+    : m_stream(asio::make_strand(aContext))
+  {
+  }
+
+  beast::tcp_stream m_stream;
+  beast::flat_buffer m_buffer;
+  Instant m_idleSince;
+};
+
+using ConnectionPointer = std::unique_ptr<Connection>;
+
+/* True when the peer closed the connection, or sent bytes nobody asked for,
+   while the connection idled. */
+bool
+IsStale(Connection& aConnection)
+{
+  beast::error_code error;
+  auto& socket = aConnection.m_stream.socket();
+  socket.non_blocking(true, error);
+  char byte = 0;
+  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  return error != asio::error::would_block;
+}
+
+}
+
+class HttpClient::Implementation
+  : public std::enable_shared_from_this<HttpClient::Implementation>
+{
+public:
+  class Exchange;
+
+  Implementation(IoThreads& aThreads, HttpClientSettings aSettings)
+    : m_context(aThreads.Context())
+    , m_settings(aSettings)
+  {
+  }
+
+  ConnectionPointer TakeIdle(const Endpoint& aEndpoint);
+  void KeepIdle(const Endpoint& aEndpoint, ConnectionPointer aConnection);
+  void DropIdle(const Endpoint& aEndpoint);
+  void Close();
+
+  asio::io_context& m_context;
+  const HttpClientSettings m_settings;
+
+private:
+  std::mutex m_mutex;
+  bool m_closed = false;
+  std::map<Endpoint, std::vector<ConnectionPointer>> m_idle;
+};
+
+class HttpClient::Implementation::Exchange
+  : public std::enable_shared_from_this<Exchange>
+{
+public:
+  Exchange(std::shared_ptr<Implementation> aClient,
+           Endpoint aEndpoint,
+           HttpRequest&& aRequest,
+           HttpCallback aCallback)
+    : m_client(std::move(aClient))
+    , m_endpoint(std::move(aEndpoint))
+    , m_message(ToMessage(std::move(aRequest), m_endpoint))
+    , m_callback(std::move(aCallback))
+    , m_connection(m_client->TakeIdle(m_endpoint))
+    , m_connected(m_connection != nullptr)
+  {
+    if (!m_connection) {
+      m_connection = std::make_unique<Connection>(m_client->m_context);
+    }
+    m_executor = m_connection->m_stream.get_executor();
+    m_deadline.emplace(m_executor);
+  }
+
+  void Start(Duration aTimeout)
+  {
+    asio::dispatch(m_executor, [self = shared_from_this(), aTimeout] {
+      self->m_deadline->expires_after(aTimeout);
+      self->m_deadline->async_wait([self](const beast::error_code& aError) {
+        if (!aError) {
+          self->Fail("timed out", true);
+        }
+      });
+      self->m_connected ? self->Write() : self->Connect();
+    });
+  }
+
+  void Cancel()
+  {
+    asio::dispatch(m_executor, [self = shared_from_this()] {
+      self->Fail("cancelled", true);
+    });
+  }
+
+private:
+  void Connect()
+  {
+    beast::error_code error;
+    const auto address = asio::ip::make_address(m_endpoint.m_address, error);
+    if (error) {
+      Fail("not an IP address", false);
+      return;
+    }
+    m_connection->m_stream.expires_after(m_client->m_settings.m_connectTimeout);
+    m_connection->m_stream.async_connect(
+      tcp::endpoint(address, m_endpoint.m_port),
+      beast::bind_front_handler(&Exchange::Connected, shared_from_this()));
+  }
+
+  void Connected(beast::error_code aError)
+  {
+    if (m_done) {
+      return;
+    }
+    if (aError) {
+      Fail(aError.message(), false);
+      return;
+    }
+    beast::error_code ignored;
+    m_connection->m_stream.socket().set_option(tcp::no_delay(true), ignored);
+    Write();
+  }
+
+  void Write()
+  {
+    if (m_done) {
+      return;
+    }
+    m_sent = true;
+    m_connection->m_stream.expires_never();
+    http::async_write(
+      m_connection->m_stream,
+      m_message,
+      beast::bind_front_handler(&Exchange::Written, shared_from_this()));
+  }
+
+  void Written(beast::error_code aError, std::size_t /*aBytes*/)
+  {
+    if (m_done) {
+      return;
+    }
+    if (aError) {
+      Fail(aError.message(), false);
+      return;
+    }
+    m_parser.body_limit(m_client->m_settings.m_bodyBytes);
+    http::async_read(
+      m_connection->m_stream,
+      m_connection->m_buffer,
+      m_parser,
+      beast::bind_front_handler(&Exchange::Read, shared_from_this()));
+  }
+
+  void Read(beast::error_code aError, std::size_t /*aBytes*/)
+  {
+    if (m_done) {
+      return;
+    }
+    if (aError) {
+      Fail(aError.message(), false);
+      return;
+    }
+    m_done = true;
+    m_deadline->cancel();
+    auto message = m_parser.release();
+    const bool reusable =
+      message.keep_alive() && m_connection->m_buffer.size() == 0;
+    if (reusable) {
+      m_client->KeepIdle(m_endpoint, std::move(m_connection));
+    } else {
+      CloseConnection();
+    }
+    Finish(ToResponse(std::move(message)));
+  }
+
+  void Fail(std::string aText, bool aTimedOut)
+  {
+    if (m_done) {
+      return;
+    }
+    m_done = true;
+    m_deadline->cancel();
+    CloseConnection();
+    Finish(HttpFailure{ m_sent, aTimedOut, std::move(aText) });
+  }
+
+  /* The connection object stays until pending handlers have run. */
+  void CloseConnection() { m_connection->m_stream.close(); }
+
+  void Finish(HttpResult aResult)
+  {
+    auto callback = std::exchange(m_callback, nullptr);
+    callback(std::move(aResult));
+  }
+
+  std::shared_ptr<Implementation> m_client;
+  Endpoint m_endpoint;
+  http::request<http::string_body> m_message;
+  http::response_parser<http::string_body> m_parser;
+  HttpCallback m_callback;
+  ConnectionPointer m_connection;
+  asio::any_io_executor m_executor;
+  std::optional<asio::steady_timer> m_deadline;
+  bool m_connected;
+  bool m_sent = false;
+  bool m_done = false;
+};
+
+ConnectionPointer
+HttpClient::Implementation::TakeIdle(const Endpoint& aEndpoint)
+{
+  const std::lock_guard lock(m_mutex);
+  auto& idle = m_idle[aEndpoint];
+  const Instant now = IoThreads::Now();
+  while (!idle.empty()) {
+    ConnectionPointer connection = std::move(idle.back());
+    idle.pop_back();
+    const bool fresh = now - connection->m_idleSince < m_settings.m_idleLimit;
+    if (fresh && !IsStale(*connection)) {
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+void
+HttpClient::Implementation::KeepIdle(const Endpoint& aEndpoint,
+                                     ConnectionPointer aConnection)
+{
+  const std::lock_guard lock(m_mutex);
+  auto& idle = m_idle[aEndpoint];
+  if (m_closed || idle.size() >= m_settings.m_idlePerEndpoint) {
+    return;
+  }
+  aConnection->m_idleSince = IoThreads::Now();
+  idle.push_back(std::move(aConnection));
+}
+
+void
+HttpClient::Implementation::DropIdle(const Endpoint& aEndpoint)
+{
+  const std::lock_guard lock(m_mutex);
+  m_idle.erase(aEndpoint);
+}
+
+void
+HttpClient::Implementation::Close()
+{
+  const std::lock_guard lock(m_mutex);
+  m_closed = true;
+  m_idle.clear();
+}
+
+//==============================================================================
+HttpClient::HttpClient(IoThreads& aThreads, HttpClientSettings aSettings)
+  : m_implementation(std::make_shared<Implementation>(aThreads, aSettings))
+{
+}
+
+HttpClient::~HttpClient()
+{
+  m_implementation->Close();
+}
+
+HttpExchange
+HttpClient::Send(const Endpoint& aEndpoint,
+                 HttpRequest aRequest,
+                 Duration aTimeout,
+                 HttpCallback aCallback)
+{
+  auto exchange = std::make_shared<Implementation::Exchange>(
+    m_implementation, aEndpoint, std::move(aRequest), std::move(aCallback));
+  exchange->Start(aTimeout);
+  return HttpExchange(
+    [weak = std::weak_ptr<Implementation::Exchange>(exchange)] {
+      if (const auto strong = weak.lock()) {
+        strong->Cancel();
+      }
+    });
+}
+
+void
+HttpClient::DropIdle(const Endpoint& aEndpoint)
+{
+  m_implementation->DropIdle(aEndpoint);
+}
+
+HttpResult
+HttpClient::SendAndWait(const Endpoint& aEndpoint,
+                        HttpRequest aRequest,
+                        Duration aTimeout)
+{
+  auto promise = std::make_shared<std::promise<HttpResult>>();
+  auto future = promise->get_future();
+  Send(aEndpoint, std::move(aRequest), aTimeout, [promise](HttpResult aResult) {
+    promise->set_value(std::move(aResult));
+  });
+  return future.get();
+}
+
+}
--- /dev/null
+++ b/modules/cr_transport/http/cr_HttpClient.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "cr_settings/cr_settings.h"
+#include "cr_transport/http/cr_HttpMessage.h"
+#include "cr_transport/io/cr_IoThreads.h"
+
+namespace cr {
+
+/** An exchange that brought no whole answer. */
+struct HttpFailure
+{
+  /** False only when it is certain that no byte of the request was sent. */
+  bool m_sent = false;
+  /** True when the exchange was cancelled or took too long. */
+  bool m_timedOut = false;
+  std::string m_text;
+};
+
+/** The whole answer, or the failure. */
+using HttpResult = std::variant<HttpResponse, HttpFailure>;
+
+/** Called once with the result, on one of the I/O threads. */
+using HttpCallback = std::function<void(HttpResult)>;
+
+/** Settings of an HTTP client. */
+struct HttpClientSettings
+{
+  /** Idle connections kept for each endpoint. */
+  std::size_t m_idlePerEndpoint = 32;
+  /** Longest time a connection may idle before it is closed. */
+  Duration m_idleLimit = Seconds(20);
+  Duration m_connectTimeout = Seconds(1);
+  std::uint64_t m_bodyBytes = 4 * 1024 * 1024;
+};
+
+/** An exchange in progress. Cancel() closes its connection. Thread safe. */
+class HttpExchange
+{
+public:
+  HttpExchange() = default;
+  /** Wraps the function that cancels. */
+  explicit HttpExchange(std::function<void()> aCancel)
+    : m_cancel(std::move(aCancel))
+  {
+  }
+
+  /** Ends the exchange; its callback is still called, with a failure. */
+  void Cancel() const
+  {
+    if (m_cancel) {
+      m_cancel();
+    }
+  }
+
+private:
+  std::function<void()> m_cancel;
+};
+
+/** Sends HTTP requests over pooled connections, one exchange at a time on each.
+    A connection whose exchange failed or was cancelled is closed, never reused.
+    All methods are thread safe. */
+class HttpClient
+{
+public:
+  /** Prepares a client; the threads must outlive it. */
+  HttpClient(IoThreads& aThreads, HttpClientSettings aSettings);
+  /** Closes idle connections; exchanges in progress end with a failure. */
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  //==========================================================================
+  /** Sends the request and calls back within the timeout. */
+  HttpExchange Send(const Endpoint& aEndpoint,
+                    HttpRequest aRequest,
+                    Duration aTimeout,
+                    HttpCallback aCallback);
+
+  /** Closes idle connections to the endpoint. */
+  void DropIdle(const Endpoint& aEndpoint);
+
+  //==========================================================================
+  /** Sends the request and waits for the result. Not from an I/O thread. */
+  HttpResult SendAndWait(const Endpoint& aEndpoint,
+                         HttpRequest aRequest,
+                         Duration aTimeout);
+
+private:
+  class Implementation;
+  std::shared_ptr<Implementation> m_implementation;
+};
+
+}
--- /dev/null
+++ b/modules/cr_transport/http/cr_HttpMessage.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cr {
+
+/** One header field. */
+struct HttpHeader
+{
+  std::string m_name;
+  std::string m_value;
+};
+
+/** Header fields in the order received. */
+using HttpHeaders = std::vector<HttpHeader>;
+
+/** An HTTP request without its framing. */
+struct HttpRequest
+{
+  std::string m_method = "GET";
+  std::string m_target = "/";
+  HttpHeaders m_headers;
+  std::string m_body;
+};
+
+/** Status codes that the product sends. */
+inline constexpr unsigned kHttpOk = 200;
+inline constexpr unsigned kHttpBadRequest = 400;
+inline constexpr unsigned kHttpNotFound = 404;
+inline constexpr unsigned kHttpConflict = 409;
+inline constexpr unsigned kHttpBadGateway = 502;
+inline constexpr unsigned kHttpUnavailable = 503;
+inline constexpr unsigned kHttpGatewayTimeout = 504;
+
+/** An HTTP response without its framing. */
+struct HttpResponse
+{
+  unsigned m_status = kHttpOk;
+  HttpHeaders m_headers;
+  std::string m_body;
+};
+
+/** Returns the value of the first header with the name, case ignored; empty
+    when there is none. Thread safe. */
+std::string_view
+FindHeader(std::span<const HttpHeader> aHeaders, std::string_view aName);
+
+/** Builds a response that carries text. Thread safe. */
+HttpResponse
+MakeTextResponse(unsigned aStatus,
+                 std::string aBody,
+                 std::string aContentType = "text/plain");
+
+}
--- /dev/null
+++ b/modules/cr_transport/http/cr_HttpServer.cpp
@@ -0,0 +1,486 @@
+#include "cr_transport/http/cr_HttpServer.h"
+
+#include <atomic>
+#include <mutex>
+#include <optional>
+#include <unordered_set>
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace cr {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = boost::asio::ip::tcp;
+
+constexpr unsigned kHttpVersion = 11;
+
+HttpRequest
+ToRequest(http::request<http::string_body>&& aMessage)
+{
+  HttpRequest request;
+  request.m_method = std::string(aMessage.method_string());
+  request.m_target = std::string(aMessage.target());
+  for (const auto& field : aMessage) {
+    request.m_headers.push_back(
+      { std::string(field.name_string()), std::string(field.value()) });
+  }
+  request.m_body = std::move(aMessage.body());
+  return request;
+}
+
+http::response<http::string_body>
+ToMessage(HttpResponse&& aResponse, bool aKeepAlive)
+{
+  http::response<http::string_body> message;
+  message.version(kHttpVersion);
+  message.result(aResponse.m_status);
+  for (const HttpHeader& header : aResponse.m_headers) {
+    message.set(header.m_name, header.m_value);
+  }
+  message.body() = std::move(aResponse.m_body);
+  message.keep_alive(aKeepAlive);
+  message.prepare_payload();
+  return message;
+}
+
+unsigned
+StatusOf(const beast::error_code& aError)
+{
+  constexpr unsigned payloadTooLarge = 413;
+  constexpr unsigned headersTooLarge = 431;
+  if (aError == http::error::body_limit) {
+    return payloadTooLarge;
+  }
+  if (aError == http::error::header_limit ||
+      aError == http::error::buffer_overflow) {
+    return headersTooLarge;
+  }
+  return kHttpBadRequest;
+}
+
+bool
+IsParseError(const beast::error_code& aError)
+{
+  static const auto& category =
+    make_error_code(http::error::bad_method).category();
+  return aError.category() == category &&
+         aError != http::error::end_of_stream &&
+         aError != http::error::partial_message;
+}
+
+}
+
+class HttpServer::Implementation
+  : public std::enable_shared_from_this<HttpServer::Implementation>
+{
+public:
+  class Session;
+
+  Implementation(IoThreads& aThreads, HttpLimits aLimits, HttpHandler aHandler)
+    : m_limits(aLimits)
+    , m_handler(std::move(aHandler))
+    , m_acceptor(asio::make_strand(aThreads.Context()))
+    , m_context(aThreads.Context())
+  {
+  }
+
+  Expected<Endpoint> Listen(const Endpoint& aEndpoint);
+  void Accept();
+  void StopAccepting();
+  void Close();
+  void Add(const std::shared_ptr<Session>& aSession);
+  void Remove(const std::shared_ptr<Session>& aSession);
+
+  const HttpLimits m_limits;
+  const HttpHandler m_handler;
+  tcp::acceptor m_acceptor;
+  asio::io_context& m_context;
+  std::atomic<std::size_t> m_inProgress{ 0 };
+  std::atomic<bool> m_stopping{ false };
+  std::mutex m_mutex;
+  std::unordered_set<std::shared_ptr<Session>> m_sessions;
+};
+
+class HttpServer::Implementation::Session
+  : public std::enable_shared_from_this<Session>
+{
+public:
+  Session(tcp::socket&& aSocket, std::shared_ptr<Implementation> aServer)
+    : m_stream(std::move(aSocket))
+    , m_server(std::move(aServer))
+  {
+  }
+
+  void Start()
+  {
+    beast::error_code ignored;
+    m_stream.socket().set_option(tcp::no_delay(true), ignored);
+    asio::dispatch(m_stream.get_executor(),
+                   [self = shared_from_this()] { self->ReadFirstByte(); });
+  }
+
+  void Shut()
+  {
+    asio::dispatch(m_stream.get_executor(),
+                   [self = shared_from_this()] { self->CloseSocket(); });
+  }
+
+  void Answer(std::uint64_t aSequence, HttpResponse aResponse)
+  {
+    asio::dispatch(m_stream.get_executor(),
+                   [self = shared_from_this(),
+                    aSequence,
+                    response = std::move(aResponse)]() mutable {
+                     self->WriteAnswer(aSequence, std::move(response));
+                   });
+  }
+
+  void Watch(std::uint64_t aSequence, std::function<void()> aGone)
+  {
+    asio::dispatch(m_stream.get_executor(),
+                   [self = shared_from_this(),
+                    aSequence,
+                    gone = std::move(aGone)]() mutable {
+                     if (aSequence == self->m_sequence && self->m_waiting) {
+                       self->m_gone = std::move(gone);
+                       self->WaitForClose(aSequence);
+                     }
+                   });
+  }
+
+private:
+  class Request;
+
+  void ReadFirstByte()
+  {
+    if (m_buffer.size() != 0) {
+      ReadRequest();
+      return;
+    }
+    m_stream.expires_after(m_server->m_limits.m_idle);
+    m_stream.socket().async_wait(
+      tcp::socket::wait_read,
+      beast::bind_front_handler(&Session::FirstByteReady, shared_from_this()));
+    ArmIdle();
+  }
+
+  /* socket::async_wait is not subject to the stream's expiry, so the idle limit
+     is kept by a timer of its own. */
+  void ArmIdle()
+  {
+    m_idleTimer.emplace(m_stream.get_executor());
+    m_idleTimer->expires_after(m_server->m_limits.m_idle);
+    m_idleTimer->async_wait(
+      [weak = weak_from_this()](const beast::error_code& aError) {
+        const auto self = weak.lock();
+        if (!aError && self) {
+          self->CloseSocket();
+        }
+      });
+  }
+
+  void FirstByteReady(beast::error_code aError)
+  {
+    m_idleTimer.reset();
+    if (aError) {
+      CloseSocket();
+      return;
+    }
+    ReadRequest();
+  }
+
+  void ReadRequest()
+  {
+    m_parser.emplace();
+    m_parser->header_limit(m_server->m_limits.m_headerBytes);
+    m_parser->body_limit(m_server->m_limits.m_bodyBytes);
+    m_stream.expires_after(m_server->m_limits.m_transfer);
+    http::async_read(
+      m_stream,
+      m_buffer,
+      *m_parser,
+      beast::bind_front_handler(&Session::RequestRead, shared_from_this()));
+  }
+
+  void RequestRead(beast::error_code aError, std::size_t /*aBytes*/);
+
+  void WaitForClose(std::uint64_t aSequence)
+  {
+    m_stream.socket().async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this(), aSequence](const beast::error_code& aError) {
+        self->CheckClosed(aSequence, aError);
+      });
+  }
+
+  void CheckClosed(std::uint64_t aSequence, const beast::error_code& aError)
+  {
+    if (aSequence != m_sequence || !m_waiting) {
+      return;
+    }
+    char byte = 0;
+    beast::error_code peekError = aError;
+    std::size_t size = 0;
+    if (!aError) {
+      size = m_stream.socket().receive(
+        asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
+    }
+    if (size > 0) {
+      return;
+    }
+    if (auto gone = std::exchange(m_gone, nullptr)) {
+      gone();
+    }
+  }
+
+  void WriteAnswer(std::uint64_t aSequence, HttpResponse&& aResponse)
+  {
+    if (aSequence != m_sequence || !m_waiting) {
+      return;
+    }
+    m_waiting = false;
+    m_gone = nullptr;
+    if (m_stream.socket().is_open()) {
+      beast::error_code ignored;
+      m_stream.socket().cancel(ignored);
+    }
+    m_keepAlive = m_keepAlive && !m_server->m_stopping;
+    m_answer.emplace(ToMessage(std::move(aResponse), m_keepAlive));
+    m_stream.expires_after(m_server->m_limits.m_transfer);
+    http::async_write(
+      m_stream,
+      *m_answer,
+      beast::bind_front_handler(&Session::AnswerWritten, shared_from_this()));
+  }
+
+  void AnswerWritten(beast::error_code aError, std::size_t /*aBytes*/)
+  {
+    m_answer.reset();
+    if (m_counted) {
+      m_counted = false;
+      --m_server->m_inProgress;
+    }
+    if (aError || !m_keepAlive) {
+      CloseSocket();
+      return;
+    }
+    ReadFirstByte();
+  }
+
+  void CloseSocket()
+  {
+    m_idleTimer.reset();
+    beast::error_code ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    m_stream.close();
+    if (m_counted && !m_waiting) {
+      m_counted = false;
+      --m_server->m_inProgress;
+    }
+    m_server->Remove(shared_from_this());
+  }
+
+  beast::tcp_stream m_stream;
+  std::shared_ptr<Implementation> m_server;
+  beast::flat_buffer m_buffer;
+  std::optional<asio::steady_timer> m_idleTimer;
+  std::optional<http::request_parser<http::string_body>> m_parser;
+  std::optional<http::response<http::string_body>> m_answer;
+  std::function<void()> m_gone;
+  std::uint64_t m_sequence = 0;
+  bool m_waiting = false;
+  bool m_counted = false;
+  bool m_keepAlive = false;
+};
+
+class HttpServer::Implementation::Session::Request
+  : public HttpResponder::Target
+{
+public:
+  Request(std::shared_ptr<Session> aSession, std::uint64_t aSequence)
+    : m_session(std::move(aSession))
+    , m_sequence(aSequence)
+  {
+  }
+
+  void Send(HttpResponse aResponse) override
+  {
+    m_session->Answer(m_sequence, std::move(aResponse));
+  }
+
+  void WatchCaller(std::function<void()> aGone) override
+  {
+    m_session->Watch(m_sequence, std::move(aGone));
+  }
+
+private:
+  std::shared_ptr<Session> m_session;
+  std::uint64_t m_sequence;
+};
+
+void
+HttpServer::Implementation::Session::RequestRead(beast::error_code aError,
+                                                 std::size_t /*aBytes*/)
+{
+  if (aError && !IsParseError(aError)) {
+    CloseSocket();
+    return;
+  }
+  ++m_sequence;
+  m_waiting = true;
+  m_counted = true;
+  ++m_server->m_inProgress;
+  if (aError) {
+    m_keepAlive = false;
+    WriteAnswer(
+      m_sequence,
+      MakeTextResponse(StatusOf(aError),
+                       "malformed request: " + aError.message() + "\n"));
+    return;
+  }
+  m_keepAlive = m_parser->get().keep_alive();
+  auto message = m_parser->release();
+  m_parser.reset();
+  m_stream.expires_never();
+  m_server->m_handler(
+    ToRequest(std::move(message)),
+    HttpResponder(std::make_shared<Request>(shared_from_this(), m_sequence)));
+}
+
+Expected<Endpoint>
+HttpServer::Implementation::Listen(const Endpoint& aEndpoint)
+{
+  beast::error_code error;
+  const auto address = asio::ip::make_address(aEndpoint.m_address, error);
+  if (error) {
+    return Failure(ErrorCode::Malformed, "not an IP address");
+  }
+  const tcp::endpoint endpoint(address, aEndpoint.m_port);
+  m_acceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    m_acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  }
+  if (!error) {
+    m_acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    m_acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Failure(ErrorCode::Unavailable,
+                   "cannot listen on " + ToText(aEndpoint) + ": " +
+                     error.message());
+  }
+  const std::uint16_t port = m_acceptor.local_endpoint().port();
+  asio::dispatch(m_acceptor.get_executor(),
+                 [self = shared_from_this()] { self->Accept(); });
+  return Endpoint{ aEndpoint.m_address, port };
+}
+
+void
+HttpServer::Implementation::Accept()
+{
+  m_acceptor.async_accept(
+    asio::make_strand(m_context),
+    [self = shared_from_this()](beast::error_code aError, tcp::socket aSocket) {
+      if (self->m_stopping || aError == asio::error::operation_aborted) {
+        return;
+      }
+      if (!aError) {
+        self->Add(std::make_shared<Session>(std::move(aSocket), self));
+      }
+      self->Accept();
+    });
+}
+
+void
+HttpServer::Implementation::Add(const std::shared_ptr<Session>& aSession)
+{
+  {
+    const std::lock_guard lock(m_mutex);
+    if (m_sessions.size() >= m_limits.m_connections) {
+      return;
+    }
+    m_sessions.insert(aSession);
+  }
+  aSession->Start();
+}
+
+void
+HttpServer::Implementation::Remove(const std::shared_ptr<Session>& aSession)
+{
+  const std::lock_guard lock(m_mutex);
+  m_sessions.erase(aSession);
+}
+
+void
+HttpServer::Implementation::StopAccepting()
+{
+  m_stopping = true;
+  asio::dispatch(m_acceptor.get_executor(), [self = shared_from_this()] {
+    beast::error_code ignored;
+    self->m_acceptor.close(ignored);
+  });
+}
+
+void
+HttpServer::Implementation::Close()
+{
+  StopAccepting();
+  std::unordered_set<std::shared_ptr<Session>> sessions;
+  {
+    const std::lock_guard lock(m_mutex);
+    sessions.swap(m_sessions);
+  }
+  for (const auto& session : sessions) {
+    session->Shut();
+  }
+}
+
+//==============================================================================
+HttpServer::HttpServer(IoThreads& aThreads,
+                       HttpLimits aLimits,
+                       HttpHandler aHandler)
+  : m_implementation(
+      std::make_shared<Implementation>(aThreads, aLimits, std::move(aHandler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+  Close();
+}
+
+Expected<Endpoint>
+HttpServer::Listen(const Endpoint& aEndpoint)
+{
+  return m_implementation->Listen(aEndpoint);
+}
+
+void
+HttpServer::StopAccepting()
+{
+  m_implementation->StopAccepting();
+}
+
+void
+HttpServer::Close()
+{
+  m_implementation->Close();
+}
+
+std::size_t
+HttpServer::RequestsInProgress() const
+{
+  return m_implementation->m_inProgress;
+}
+
+}
--- /dev/null
+++ b/modules/cr_transport/http/cr_StoreConnection.cpp
@@ -0,0 +1,64 @@
+#include "cr_transport/http/cr_StoreConnection.h"
+
+#include <future>
+
+namespace cr {
+
+namespace {
+
+HttpRequest
+ToHttp(const StoreRequest& aRequest)
+{
+  return { "POST",
+           std::string(kStorePath),
+           { { "Content-Type", "application/json" } },
+           EncodeStoreRequest(aRequest) };
+}
+
+struct ResultReader
+{
+  StoreAnswer operator()(const HttpResponse& aResponse) const
+  {
+    if (aResponse.m_status != kHttpOk) {
+      return StoreFailed{ aResponse.m_body };
+    }
+    return DecodeStoreAnswer(aResponse.m_body);
+  }
+  StoreAnswer operator()(const HttpFailure& aFailure) const
+  {
+    return StoreFailed{ aFailure.m_text };
+  }
+};
+
+}
+
+StoreConnection::StoreConnection(HttpClient& aClient,
+                                 Endpoint aPlatform,
+                                 Duration aTimeout)
+  : m_client(aClient)
+  , m_platform(std::move(aPlatform))
+  , m_timeout(aTimeout)
+{
+}
+
+void
+StoreConnection::Send(const StoreRequest& aRequest,
+                      std::function<void(StoreAnswer)> aCallback)
+{
+  m_client.Send(m_platform,
+                ToHttp(aRequest),
+                m_timeout,
+                [callback = std::move(aCallback)](const HttpResult& aResult) {
+                  callback(std::visit(ResultReader{}, aResult));
+                });
+}
+
+StoreAnswer
+StoreConnection::SendAndWait(const StoreRequest& aRequest)
+{
+  return std::visit(
+    ResultReader{},
+    m_client.SendAndWait(m_platform, ToHttp(aRequest), m_timeout));
+}
+
+}
--- /dev/null
+++ b/modules/cr_transport/http/cr_StoreConnection.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <functional>
+
+#include "cr_platform/cr_platform.h"
+#include "cr_transport/http/cr_HttpClient.h"
+
+namespace cr {
+
+/** Path at which the platform answers store requests. */
+inline constexpr std::string_view kStorePath = "/store";
+
+/** Carries store requests to the platform over HTTP. Thread safe. */
+class StoreConnection
+{
+public:
+  /** The client must outlive the connection. */
+  StoreConnection(HttpClient& aClient, Endpoint aPlatform, Duration aTimeout);
+
+  /** Sends the request; the function is called once, within the timeout, on an
+      I/O thread. Any failure arrives as StoreFailed. */
+  void Send(const StoreRequest& aRequest,
+            std::function<void(StoreAnswer)> aCallback);
+
+  /** Sends the request and waits. Not from an I/O thread. */
+  StoreAnswer SendAndWait(const StoreRequest& aRequest);
+
+private:
+  HttpClient& m_client;
+  Endpoint m_platform;
+  Duration m_timeout;
+};
+
+}
