--- /dev/null
+++ b/stand_ins/server_stand_in/server/cr_ExpectedAnswer.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <string>
+
+#include "cr_configuration/cr_configuration.h"
+
+namespace cr {
+
+/** Returns the body that stand-in servers give for a whole request: the request
+    identifier and the tree of operations that ran. Thread safe. */
+std::string
+ExpectedAnswer(const Configuration& aConfiguration,
+               const OperationName& aOperation,
+               const std::string& aRequest);
+
+/** Returns the part of the body without the request identifier. Thread safe. */
+std::string
+ExpectedTree(const Configuration& aConfiguration,
+             const OperationName& aOperation);
+
+}
