Tests of the whole path, in virtual time and over loopback

Cause: the path had no tests; an oversize body was answered by a reset connection, because the server closed while the caller was still sending. Change: a small mesh of node decisions with fake servers in virtual time; a loopback test of one node process's server; the HTTP server discards the rest of a refused request, bounded, before it closes.

--- /dev/null
+++ b/modules/cr_node/tests/cr_TestMesh.h
@@ -0,0 +1,192 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cr_node/cr_node.h"
+
+namespace cr {
+
+/** A host of a test mesh: a node and a fake backend server. */
+struct MeshHost
+{
+  HostName m_host;
+  std::string m_service;
+  std::string m_dataCentre = "a";
+  std::string m_region = "r";
+  std::uint32_t m_slots = 10;
+  Duration m_serviceTime = Milliseconds(5);
+};
+
+/** What a customer of the mesh got. */
+struct MeshAnswer
+{
+  RequestId m_request;
+  OperationName m_operation;
+  CallReport m_report;
+  PayloadPointer m_payload;
+  Instant m_at;
+};
+
+/** Faults of the mesh, changed by tests at any time. */
+struct MeshFaults
+{
+  /** One-way delay between nodes. */
+  Duration m_linkDelay = Duration(500);
+  /** Share of answers between nodes that are lost after the work was done. */
+  double m_lostAnswers = 0.0;
+  /** Hosts that cannot be reached and reach nobody. */
+  std::set<HostName> m_cut;
+  /** Hosts whose process does not run; its events wait. */
+  std::set<HostName> m_paused;
+  bool m_platformDown = false;
+  /** Share of platform answers that are lost after the write took effect. */
+  double m_lostStoreAnswers = 0.0;
+  /** Bodies that contain this end the server that runs them. */
+  std::string m_crashMark = "crash";
+};
+
+/** A few nodes' decisions, fake backend servers and an in-process platform in
+    virtual time, in one thread. The same seed gives the same run. */
+class TestMesh
+{
+public:
+  /** Starts the hosts and puts the service files into force. */
+  TestMesh(std::vector<MeshHost> aHosts,
+           std::vector<ServiceFileText> aFiles,
+           std::uint64_t aSeed);
+  ~TestMesh();
+  TestMesh(const TestMesh&) = delete;
+  TestMesh& operator=(const TestMesh&) = delete;
+
+  //==========================================================================
+  /** Lets virtual time pass. */
+  void RunFor(Duration aTime);
+
+  /** Sends a customer's call to the host's node; the answer is added to
+      Answers(). */
+  void Call(const HostName& aHost, const CustomerCall& aCall);
+
+  /** Builds a call with the next request identifier and a fresh key. */
+  CustomerCall MakeCall(const OperationName& aOperation);
+
+  /** The customer of a call that Call() sent closes its connection. */
+  void HangUp(const RequestId& aRequest);
+
+  /** Publishes service files; returns how it ended. */
+  PublicationResult PublishFiles(const std::vector<ServiceFileText>& aFiles,
+                                 const std::string& aOperator);
+
+  /** Replaces the host's node by a new incarnation that knows nothing. */
+  void RestartNode(const HostName& aHost);
+
+  /** The backend server announces that it leaves. */
+  void LeaveServer(const HostName& aHost);
+
+  /** The backend server dies with the calls that it runs. */
+  void CrashServer(const HostName& aHost);
+
+  /** The backend server starts again. */
+  void StartServer(const HostName& aHost);
+
+  /** Feeds an event to a node at the present time. */
+  void Feed(const HostName& aHost, const Event& aEvent);
+
+  //==========================================================================
+  MeshFaults& Faults() { return m_faults; }
+  const std::vector<MeshAnswer>& Answers() const { return m_answers; }
+  Instant Now() const { return m_now; }
+  NodeDecisions& Node(const HostName& aHost);
+  InProcessPlatform& Platform() { return m_platform; }
+
+  /** Hand-overs to a server by request identifier. */
+  const std::map<RequestId, std::uint32_t>& HandOvers() const
+  {
+    return m_handOvers;
+  }
+  /** Attempts between nodes by request identifier. */
+  const std::map<RequestId, std::uint32_t>& Attempts() const
+  {
+    return m_attempts;
+  }
+  /** Runs by idempotency key and operation. */
+  const std::map<std::string, std::uint32_t>& RunsByKey() const
+  {
+    return m_runsByKey;
+  }
+  /** Servers that died of a request. */
+  std::uint32_t Crashes() const { return m_crashes; }
+  /** Store requests that nodes made. */
+  std::uint64_t StoreCalls() const { return m_storeCalls; }
+
+private:
+  struct Host;
+  struct Job;
+  struct Origin;
+  struct Scheduled
+  {
+    Instant m_at;
+    std::uint64_t m_order = 0;
+    std::function<void()> m_function;
+  };
+  struct Later
+  {
+    bool operator()(const Scheduled& aLeft, const Scheduled& aRight) const
+    {
+      return std::tie(aLeft.m_at, aLeft.m_order) >
+             std::tie(aRight.m_at, aRight.m_order);
+    }
+  };
+
+  void After(Duration aDelay, std::function<void()> aFunction);
+  void ArmTimer(Host& aHost);
+  void Announce(Host& aHost);
+  void AnnounceEvery(const HostName& aHost);
+  bool IsCut(const HostName& aFirst, const HostName& aSecond) const;
+  Host& HostOf(const Endpoint& aPeer);
+  void RunJob(Host& aHost, const std::shared_ptr<Job>& aJob);
+  void StepJob(const HostName& aHost, const std::shared_ptr<Job>& aJob);
+
+  void Do(Host& aHost, const ForwardCall& aAction);
+  void Do(Host& aHost, const CancelAttempt& aAction);
+  void Do(Host& aHost, const AskWithdraw& aAction);
+  void Do(Host& aHost, const HandOver& aAction);
+  void Do(Host& aHost, const CancelHandOver& aAction);
+  void Do(Host& aHost, const AnswerCall& aAction);
+  void Do(Host& aHost, const AnswerWithdraw& aAction);
+  void Do(Host& aHost, const CallStore& aAction);
+  void Do(Host& aHost, const WriteLog& aAction);
+
+  Random m_random;
+  Instant m_now;
+  std::uint64_t m_order = 0;
+  std::uint64_t m_sequence = 0;
+  std::uint64_t m_publications = 0;
+  std::priority_queue<Scheduled, std::vector<Scheduled>, Later> m_schedule;
+  std::map<HostName, std::unique_ptr<Host>> m_hosts;
+  InProcessPlatform m_platform;
+  MeshFaults m_faults;
+  std::vector<MeshAnswer> m_answers;
+  std::map<RequestId, std::uint32_t> m_handOvers;
+  std::map<RequestId, std::uint32_t> m_attempts;
+  std::map<std::string, std::uint32_t> m_runsByKey;
+  std::uint32_t m_crashes = 0;
+  std::uint64_t m_storeCalls = 0;
+};
+
+/** The service files of a small booking graph: shop/book (protected, not
+    idempotent) calls price/quote, which calls stock/count; shop/status is
+    normal and shop/browse low. */
+std::vector<ServiceFileText>
+BookingGraph();
+
+/** Two hosts for each service of the booking graph. */
+std::vector<MeshHost>
+BookingHosts();
+
+}
--- a/modules/cr_transport/http/cr_HttpServer.cpp
+++ b/modules/cr_transport/http/cr_HttpServer.cpp
@@ -21,6 +21,8 @@
 using tcp = boost::asio::ip::tcp;
 
 constexpr unsigned kHttpVersion = 11;
+constexpr std::size_t kDiscardChunkBytes = 65536;
+constexpr std::size_t kDiscardLimitBytes = 16 * 1024 * 1024;
 
 HttpRequest
 ToRequest(http::request<http::string_body>&& aMessage)
@@ -268,13 +270,47 @@
       m_counted = false;
       --m_server->m_inProgress;
     }
-    if (aError || !m_keepAlive) {
+    if (aError) {
+      CloseSocket();
+      return;
+    }
+    if (m_refused) {
+      DiscardRest();
+      return;
+    }
+    if (!m_keepAlive) {
       CloseSocket();
       return;
     }
     ReadFirstByte();
   }
 
+  /* The caller may still be sending the request that was refused; closing now
+     would reset the connection before it reads the answer. */
+  void DiscardRest()
+  {
+    beast::error_code ignored;
+    m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    m_stream.expires_after(m_server->m_limits.m_transfer);
+    ReadAndDiscard(0);
+  }
+
+  void ReadAndDiscard(std::size_t aDiscarded)
+  {
+    m_buffer.clear();
+    m_stream.async_read_some(m_buffer.prepare(kDiscardChunkBytes),
+                             [self = shared_from_this(), aDiscarded](
+                               beast::error_code aError, std::size_t aBytes) {
+                               const std::size_t discarded =
+                                 aDiscarded + aBytes;
+                               if (aError || discarded > kDiscardLimitBytes) {
+                                 self->CloseSocket();
+                                 return;
+                               }
+                               self->ReadAndDiscard(discarded);
+                             });
+  }
+
   void CloseSocket()
   {
     m_idleTimer.reset();
@@ -299,6 +335,7 @@
   bool m_waiting = false;
   bool m_counted = false;
   bool m_keepAlive = false;
+  bool m_refused = false;
 };
 
 class HttpServer::Implementation::Session::Request
@@ -340,6 +377,7 @@
   ++m_server->m_inProgress;
   if (aError) {
     m_keepAlive = false;
+    m_refused = true;
     WriteAnswer(
       m_sequence,
       MakeTextResponse(StatusOf(aError),
