Events and actions between modules; mesh of nodes for tests

Cause: parts built side by side need fixed types between them, and the mesh of the tests is needed by several modules. Change: rumours, suspects and shared state of a node's flows; policy switches for experiments; the mesh is a stand-in library and follows any call graph.

--- a/modules/cr_core/cr_core.h
+++ b/modules/cr_core/cr_core.h
@@ -12,6 +12,7 @@
 #include "cr_core/identity/cr_Identifier.h"
 #include "cr_core/identity/cr_Importance.h"
 #include "cr_core/identity/cr_Outcome.h"
+#include "cr_core/policy/cr_PolicySwitches.h"
 #include "cr_core/random/cr_Hash.h"
 #include "cr_core/random/cr_Random.h"
 #include "cr_core/time/cr_Time.h"
--- a/modules/cr_node/decisions/cr_NodeDecisions.cpp
+++ b/modules/cr_node/decisions/cr_NodeDecisions.cpp
@@ -12,16 +12,14 @@
 
 }
 
-NodeDecisions::NodeDecisions(NodeIdentity aIdentity)
-  : m_identity(std::move(aIdentity))
-  , m_routers(m_identity)
-  , m_gate(m_identity, m_configuration)
-  , m_directory(m_identity, m_routers)
-  , m_configurationFlow(m_configuration)
+NodeDecisions::NodeDecisions(NodeIdentity aIdentity, PolicySwitches aPolicy)
+  : m_shared(std::move(aIdentity), aPolicy)
+  , m_gate(m_shared)
+  , m_directory(m_shared)
+  , m_configurationFlow(m_shared)
 {
   for (std::size_t shard = 0; shard < kShardCount; ++shard) {
-    m_entries.at(shard) = std::make_unique<Guarded<EntryFlow>>(
-      m_identity, shard, m_routers, m_configuration);
+    m_entries.at(shard) = std::make_unique<Guarded<EntryFlow>>(m_shared, shard);
   }
 }
 
@@ -63,9 +61,9 @@
 NodeDecisions::Status() const
 {
   NodeStatus status;
-  status.m_host = m_identity.m_host;
-  status.m_incarnation = m_identity.m_incarnation;
-  status.m_generation = m_configuration.Current()->m_generation;
+  status.m_host = m_shared.m_identity.m_host;
+  status.m_incarnation = m_shared.m_identity.m_incarnation;
+  status.m_generation = m_shared.m_configuration.Current()->m_generation;
   m_gate.With([&](const GateFlow& aFlow) {
     status.m_server = aFlow.Server();
     status.m_running = aFlow.GateState().Running();
@@ -76,7 +74,7 @@
     status.m_entryCalls +=
       entry->With([](const EntryFlow& aFlow) { return aFlow.Size(); });
   }
-  status.m_hosts = m_routers.Sizes();
+  status.m_hosts = m_shared.m_routers.Sizes();
   status.m_knownNodes = m_directory.With(
     [](const DirectoryFlow& aFlow) { return aFlow.Rows().size(); });
   return status;
@@ -131,6 +129,30 @@
   ShareServerState(aMoment, aActions);
 }
 
+void
+NodeDecisions::Do(const RumourArrived& aEvent,
+                  Moment aMoment,
+                  Actions& aActions)
+{
+  m_shared.m_suspects.With([&](SuspectTable& aTable) {
+    aTable.Learn(aEvent.m_rumour.m_suspects, aMoment.m_now);
+  });
+  m_directory.With(
+    [&](DirectoryFlow& aFlow) { aFlow.Handle(aEvent, aMoment, aActions); });
+}
+
+void
+NodeDecisions::Do(const RumourAnswered& aEvent,
+                  Moment aMoment,
+                  Actions& /*aActions*/)
+{
+  if (aEvent.m_rumour) {
+    m_shared.m_suspects.With([&](SuspectTable& aTable) {
+      aTable.Learn(aEvent.m_rumour->m_suspects, aMoment.m_now);
+    });
+  }
+}
+
 void
 NodeDecisions::Do(const StoreAnswered& aEvent,
                   Moment aMoment,
--- a/modules/cr_node/decisions/cr_NodeDecisions.h
+++ b/modules/cr_node/decisions/cr_NodeDecisions.h
@@ -36,7 +36,7 @@
 {
 public:
   /** Starts a node that knows nobody yet. */
-  explicit NodeDecisions(NodeIdentity aIdentity);
+  explicit NodeDecisions(NodeIdentity aIdentity, PolicySwitches aPolicy = {});
 
   //==========================================================================
   /** Handles one event and adds the actions that follow from it. */
@@ -50,13 +50,15 @@
   NodeStatus Status() const;
 
   /** Returns who the node is. */
-  const NodeIdentity& Identity() const { return m_identity; }
+  const NodeIdentity& Identity() const { return m_shared.m_identity; }
 
 private:
   void Do(const CustomerCall& aEvent, Moment aMoment, Actions& aActions);
   void Do(const ChildCall& aEvent, Moment aMoment, Actions& aActions);
   void Do(const CallerGone& aEvent, Moment aMoment, Actions& aActions);
   void Do(const ServerAnnounced& aEvent, Moment aMoment, Actions& aActions);
+  void Do(const RumourArrived& aEvent, Moment aMoment, Actions& aActions);
+  void Do(const RumourAnswered& aEvent, Moment aMoment, Actions& aActions);
   void Do(const StoreAnswered& aEvent, Moment aMoment, Actions& aActions);
   void Do(const TimerDue& aEvent, Moment aMoment, Actions& aActions);
   void Do(const ShutdownAsked& aEvent, Moment aMoment, Actions& aActions);
@@ -71,9 +73,7 @@
   void Settle(FlowOutput&& aOutput, Actions& aActions);
   void ShareServerState(Moment aMoment, Actions& aActions);
 
-  const NodeIdentity m_identity;
-  ConfigurationHolder m_configuration;
-  RouterTable m_routers;
+  NodeShared m_shared;
   std::array<std::unique_ptr<Guarded<EntryFlow>>, kShardCount> m_entries;
   Guarded<GateFlow> m_gate;
   Guarded<DirectoryFlow> m_directory;
--- a/modules/cr_node/event/cr_Action.h
+++ b/modules/cr_node/event/cr_Action.h
@@ -67,6 +67,21 @@
   WithdrawResult m_result = WithdrawResult::Unknown;
 };
 
+/** Send a rumour to another node; report RumourAnswered. */
+struct SendRumour
+{
+  std::uint64_t m_id = 0;
+  Endpoint m_peer;
+  Rumour m_rumour;
+};
+
+/** Answer a rumour. */
+struct AnswerRumour
+{
+  CallId m_call{};
+  Rumour m_rumour;
+};
+
 /** Ask the platform; report StoreAnswered. */
 struct CallStore
 {
@@ -90,6 +105,8 @@
                             CancelHandOver,
                             AnswerCall,
                             AnswerWithdraw,
+                            SendRumour,
+                            AnswerRumour,
                             CallStore,
                             WriteLog>;
 
--- a/modules/cr_node/event/cr_Event.h
+++ b/modules/cr_node/event/cr_Event.h
@@ -4,10 +4,13 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "cr_core/cr_core.h"
+#include "cr_membership/cr_membership.h"
 #include "cr_platform/cr_platform.h"
 #include "cr_settings/cr_settings.h"
+#include "cr_suspects/cr_suspects.h"
 
 namespace cr {
 
@@ -147,6 +150,36 @@
   bool m_refused = false;
 };
 
+//==============================================================================
+/** What nodes tell each other unasked: changes only, unless a full copy was
+    asked for. */
+struct Rumour
+{
+  /** The sender itself. */
+  NodeRow m_sender;
+  /** Rows of other nodes that changed lately. */
+  std::vector<NodeRow> m_rows;
+  /** Newest configuration that the sender has in force. */
+  Generation m_generation = 0;
+  std::vector<Suspect> m_suspects;
+  /** The sender knows nobody and wants all rows. */
+  bool m_wantsAll = false;
+};
+
+/** A rumour arrived; it is answered by one. */
+struct RumourArrived
+{
+  CallId m_call{};
+  Rumour m_rumour;
+};
+
+/** A node answered a rumour, or did not. */
+struct RumourAnswered
+{
+  std::uint64_t m_id = 0;
+  std::optional<Rumour> m_rumour;
+};
+
 //==============================================================================
 /** The platform answered. */
 struct StoreAnswered
@@ -175,6 +208,8 @@
                            ServerAnnounced,
                            ServerAnswered,
                            ServerFailed,
+                           RumourArrived,
+                           RumourAnswered,
                            StoreAnswered,
                            TimerDue,
                            ShutdownAsked>;
--- a/modules/cr_node/flow/cr_ConfigurationFlow.cpp
+++ b/modules/cr_node/flow/cr_ConfigurationFlow.cpp
@@ -10,8 +10,8 @@
 
 }
 
-ConfigurationFlow::ConfigurationFlow(ConfigurationHolder& aHolder)
-  : m_holder(aHolder)
+ConfigurationFlow::ConfigurationFlow(NodeShared& aShared)
+  : m_shared(aShared)
 {
 }
 
@@ -48,7 +48,8 @@
     return;
   }
   const auto head = DecodeHead(aAnswer.m_row->m_value);
-  if (!head || head->m_generation <= m_holder.Current()->m_generation) {
+  if (!head ||
+      head->m_generation <= m_shared.m_configuration.Current()->m_generation) {
     return;
   }
   m_fetch = Fetch{ *head, std::nullopt, head->m_manifest };
@@ -111,7 +112,7 @@
                             ToText(findings.front())) });
     return;
   }
-  if (m_holder.Adopt(std::move(configuration))) {
+  if (m_shared.m_configuration.Adopt(std::move(configuration))) {
     aActions.emplace_back(WriteLog{
       "configuration", fmt::format("generation {} is in force", generation) });
   }
--- a/modules/cr_node/flow/cr_ConfigurationFlow.h
+++ b/modules/cr_node/flow/cr_ConfigurationFlow.h
@@ -6,7 +6,7 @@
 
 #include "cr_node/event/cr_Action.h"
 #include "cr_node/event/cr_NodeIdentity.h"
-#include "cr_node/shared/cr_ConfigurationHolder.h"
+#include "cr_node/shared/cr_NodeShared.h"
 
 namespace cr {
 
@@ -17,8 +17,8 @@
 class ConfigurationFlow
 {
 public:
-  /** The holder must outlive the flow. */
-  explicit ConfigurationFlow(ConfigurationHolder& aHolder);
+  /** The shared state must outlive the flow. */
+  explicit ConfigurationFlow(NodeShared& aShared);
 
   //==========================================================================
   /** Does what is due. */
@@ -47,7 +47,7 @@
   void Adopt(Actions& aActions);
   void Ask(StoreRequest aRequest, Actions& aActions);
 
-  ConfigurationHolder& m_holder;
+  NodeShared& m_shared;
   Instant m_nextDue;
   std::uint64_t m_sequence = 0;
   std::optional<Fetch> m_fetch;
--- a/modules/cr_node/flow/cr_DirectoryFlow.cpp
+++ b/modules/cr_node/flow/cr_DirectoryFlow.cpp
@@ -10,15 +10,15 @@
 
 }
 
-DirectoryFlow::DirectoryFlow(const NodeIdentity& aIdentity,
-                             RouterTable& aRouters)
-  : m_routers(aRouters)
+DirectoryFlow::DirectoryFlow(NodeShared& aShared)
+  : m_shared(aShared)
 {
-  m_own.m_host = aIdentity.m_host;
-  m_own.m_incarnation = aIdentity.m_incarnation;
-  m_own.m_region = aIdentity.m_region;
-  m_own.m_dataCentre = aIdentity.m_dataCentre;
-  m_own.m_peer = aIdentity.m_peer;
+  const NodeIdentity& identity = aShared.m_identity;
+  m_own.m_host = identity.m_host;
+  m_own.m_incarnation = identity.m_incarnation;
+  m_own.m_region = identity.m_region;
+  m_own.m_dataCentre = identity.m_dataCentre;
+  m_own.m_peer = identity.m_peer;
 }
 
 void
@@ -63,6 +63,18 @@
   }
 }
 
+void
+DirectoryFlow::Handle(const RumourArrived& aEvent,
+                      Moment /*aMoment*/,
+                      Actions& aActions)
+{
+  m_rows[aEvent.m_rumour.m_sender.m_host] = aEvent.m_rumour.m_sender;
+  Rumour answer;
+  answer.m_sender = m_own;
+  answer.m_generation = m_shared.m_configuration.Current()->m_generation;
+  aActions.emplace_back(AnswerRumour{ aEvent.m_call, std::move(answer) });
+}
+
 void
 DirectoryFlow::WriteOwnRow(Moment aMoment, Actions& aActions)
 {
@@ -114,7 +126,7 @@
                                          row.m_peer });
     }
   }
-  m_routers.Update(targets, aMoment.m_now);
+  m_shared.m_routers.Update(targets, aMoment.m_now);
 }
 
 StoreCallId
--- a/modules/cr_node/flow/cr_DirectoryFlow.h
+++ b/modules/cr_node/flow/cr_DirectoryFlow.h
@@ -7,7 +7,7 @@
 #include "cr_node/event/cr_Action.h"
 #include "cr_node/event/cr_NodeIdentity.h"
 #include "cr_node/flow/cr_GateFlow.h"
-#include "cr_node/shared/cr_RouterTable.h"
+#include "cr_node/shared/cr_NodeShared.h"
 
 namespace cr {
 
@@ -18,8 +18,8 @@
 class DirectoryFlow
 {
 public:
-  /** The references must outlive the flow. */
-  DirectoryFlow(const NodeIdentity& aIdentity, RouterTable& aRouters);
+  /** The shared state must outlive the flow. */
+  explicit DirectoryFlow(NodeShared& aShared);
 
   //==========================================================================
   /** Takes in the state of the host's backend server; a change is written to
@@ -32,6 +32,10 @@
   /** The platform answered. */
   void Handle(const StoreAnswered& aEvent, Moment aMoment, Actions& aActions);
 
+  /** Another node told what it knows; it is answered by what this node knows of
+      itself. */
+  void Handle(const RumourArrived& aEvent, Moment aMoment, Actions& aActions);
+
   //==========================================================================
   /** Returns the rows known, by host. */
   const std::map<HostName, NodeRow>& Rows() const { return m_rows; }
@@ -46,7 +50,7 @@
   void UpdateRouters(Moment aMoment);
   StoreCallId NextCall();
 
-  RouterTable& m_routers;
+  NodeShared& m_shared;
   NodeRow m_own;
   std::map<HostName, NodeRow> m_rows;
   std::map<HostName, NodeRow> m_reading;
--- a/modules/cr_node/flow/cr_EntryFlow.cpp
+++ b/modules/cr_node/flow/cr_EntryFlow.cpp
@@ -39,21 +39,20 @@
 
 }
 
-EntryFlow::EntryFlow(const NodeIdentity& aIdentity,
-                     std::size_t aShard,
-                     RouterTable& aRouters,
-                     const ConfigurationHolder& aConfiguration)
-  : m_identity(aIdentity)
+EntryFlow::EntryFlow(NodeShared& aShared, std::size_t aShard)
+  : m_shared(aShared)
   , m_shard(aShard)
-  , m_routers(aRouters)
-  , m_configuration(aConfiguration)
 {
 }
 
 void
 EntryFlow::Start(const CustomerCall& aCall, Moment aMoment, FlowOutput& aOutput)
 {
-  const ConfigurationPointer configuration = m_configuration.Current();
+  if (IsSuspect(aCall.m_request, aMoment.m_now)) {
+    Refuse(aCall, Reason::Suspect, aOutput);
+    return;
+  }
+  const ConfigurationPointer configuration = m_shared.m_configuration.Current();
   const OperationDescription* operation =
     configuration->Find(aCall.m_operation);
   if (operation == nullptr) {
@@ -87,7 +86,7 @@
                  Moment aMoment,
                  FlowOutput& aOutput)
 {
-  const ConfigurationPointer configuration = m_configuration.Current();
+  const ConfigurationPointer configuration = m_shared.m_configuration.Current();
   const OperationDescription* operation =
     configuration->Find(aCall.m_operation);
   Call call;
@@ -197,12 +196,16 @@
 void
 EntryFlow::TryNext(Call& aCall, Moment aMoment, FlowOutput& aOutput)
 {
+  if (IsSuspect(aCall.m_header.m_request, aMoment.m_now)) {
+    EndUnanswered(aCall, Reason::Suspect, aOutput);
+    return;
+  }
   const Duration remaining = aCall.m_deadline - aMoment.m_now;
   if (remaining <= Duration::zero()) {
     EndUnanswered(aCall, Reason::DeadlineTooShort, aOutput);
     return;
   }
-  const ConfigurationPointer configuration = m_configuration.Current();
+  const ConfigurationPointer configuration = m_shared.m_configuration.Current();
   const std::uint32_t grant =
     aCall.m_ledger.Draw(configuration->FirstTries(aCall.m_header.m_operation));
   if (grant == 0) {
@@ -211,7 +214,7 @@
   }
   const Rank rank =
     RankOf(aCall.m_header.m_importance, CohortOf(aCall.m_header.m_request));
-  const auto target = m_routers.Choose(
+  const auto target = m_shared.m_routers.Choose(
     aCall.m_header.m_operation.m_service, rank, aCall.m_tried, aMoment.m_now);
   if (!target) {
     aCall.m_ledger.Return(grant);
@@ -283,10 +286,19 @@
                          const AttemptResult& aResult,
                          Instant aNow)
 {
-  m_routers.Report(aCall.m_header.m_operation.m_service,
-                   aCall.m_attempt->m_target.m_host,
-                   aResult,
-                   aNow);
+  m_shared.m_routers.Report(aCall.m_header.m_operation.m_service,
+                            aCall.m_attempt->m_target.m_host,
+                            aResult,
+                            aNow);
+}
+
+bool
+EntryFlow::IsSuspect(const RequestId& aRequest, Instant aNow) const
+{
+  return m_shared.m_policy.m_suspects &&
+         m_shared.m_suspects.With([&](const SuspectTable& aTable) {
+           return aTable.IsRefused(aRequest, aNow);
+         });
 }
 
 EntryFlow::Call*
@@ -299,8 +311,9 @@
 AttemptId
 EntryFlow::NextAttemptId()
 {
-  const std::uint64_t sender = Hash(
-    m_identity.m_host, static_cast<std::uint64_t>(m_identity.m_incarnation));
+  const std::uint64_t sender =
+    Hash(m_shared.m_identity.m_host,
+         static_cast<std::uint64_t>(m_shared.m_identity.m_incarnation));
   return { sender, ++m_sequence * kShardCount + m_shard };
 }
 
--- a/modules/cr_node/flow/cr_EntryFlow.h
+++ b/modules/cr_node/flow/cr_EntryFlow.h
@@ -6,8 +6,7 @@
 
 #include "cr_node/event/cr_Action.h"
 #include "cr_node/event/cr_NodeIdentity.h"
-#include "cr_node/shared/cr_ConfigurationHolder.h"
-#include "cr_node/shared/cr_RouterTable.h"
+#include "cr_node/shared/cr_NodeShared.h"
 #include "cr_retry/cr_retry.h"
 
 namespace cr {
@@ -42,11 +41,8 @@
 class EntryFlow
 {
 public:
-  /** The references must outlive the flow. */
-  EntryFlow(const NodeIdentity& aIdentity,
-            std::size_t aShard,
-            RouterTable& aRouters,
-            const ConfigurationHolder& aConfiguration);
+  /** The shared state must outlive the flow. */
+  EntryFlow(NodeShared& aShared, std::size_t aShard);
 
   //==========================================================================
   /** Starts a customer's call. */
@@ -112,13 +108,12 @@
   void ReportAttempt(const Call& aCall,
                      const AttemptResult& aResult,
                      Instant aNow);
+  bool IsSuspect(const RequestId& aRequest, Instant aNow) const;
   Call* FindByAttempt(const AttemptId& aAttempt);
   AttemptId NextAttemptId();
 
-  const NodeIdentity& m_identity;
+  NodeShared& m_shared;
   std::size_t m_shard;
-  RouterTable& m_routers;
-  const ConfigurationHolder& m_configuration;
   std::uint64_t m_sequence = 0;
   std::unordered_map<CallId, Call> m_calls;
   std::unordered_map<AttemptId, CallId> m_attempts;
--- a/modules/cr_node/flow/cr_GateFlow.cpp
+++ b/modules/cr_node/flow/cr_GateFlow.cpp
@@ -28,11 +28,9 @@
 
 }
 
-GateFlow::GateFlow(const NodeIdentity& aIdentity,
-                   const ConfigurationHolder& aConfiguration)
-  : m_identity(aIdentity)
-  , m_configuration(aConfiguration)
-  , m_random(Hash("gate", aIdentity.m_seed))
+GateFlow::GateFlow(NodeShared& aShared)
+  : m_shared(aShared)
+  , m_random(Hash("gate", aShared.m_identity.m_seed))
 {
 }
 
@@ -99,7 +97,7 @@
 {
   AnswerWithdraw answer{ aEvent.m_call, WithdrawResult::Unknown };
   const auto attempt = m_attempts.find(aEvent.m_attempt);
-  if (aEvent.m_incarnation != m_identity.m_incarnation) {
+  if (aEvent.m_incarnation != m_shared.m_identity.m_incarnation) {
     answer.m_result = WithdrawResult::Unknown;
   } else if (attempt != m_attempts.end()) {
     const CallId id = attempt->second;
@@ -212,7 +210,8 @@
   if (parent.m_callerGone) {
     return std::nullopt;
   }
-  const std::uint32_t wanted = m_configuration.Current()->FirstTries(aChild);
+  const std::uint32_t wanted =
+    m_shared.m_configuration.Current()->FirstTries(aChild);
   return ChildInheritance{ parent.m_header,
                            parent.m_deadline,
                            parent.m_ledger.Draw(wanted) };
@@ -277,7 +276,7 @@
   const Call& call = m_calls.at(aId);
   CallReport report = aReport;
   report.m_level = m_gate.Level();
-  report.m_generation = m_configuration.Current()->m_generation;
+  report.m_generation = m_shared.m_configuration.Current()->m_generation;
   aOutput.m_actions.emplace_back(
     AnswerCall{ aId, call.m_header.m_request, report, std::move(aPayload) });
   if (call.m_handedOver) {
--- a/modules/cr_node/flow/cr_GateFlow.h
+++ b/modules/cr_node/flow/cr_GateFlow.h
@@ -29,9 +29,8 @@
 class GateFlow
 {
 public:
-  /** The references must outlive the flow. */
-  GateFlow(const NodeIdentity& aIdentity,
-           const ConfigurationHolder& aConfiguration);
+  /** The shared state must outlive the flow. */
+  explicit GateFlow(NodeShared& aShared);
 
   //==========================================================================
   /** Another node forwards a call. */
@@ -108,8 +107,7 @@
   void Bury(const AttemptId& aAttempt);
   GateToken NextToken();
 
-  const NodeIdentity& m_identity;
-  const ConfigurationHolder& m_configuration;
+  NodeShared& m_shared;
   Random m_random;
   Gate m_gate;
   ServerView m_server;
--- /dev/null
+++ b/modules/cr_node/shared/cr_NodeShared.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "cr_node/event/cr_NodeIdentity.h"
+#include "cr_node/shared/cr_ConfigurationHolder.h"
+#include "cr_node/shared/cr_RouterTable.h"
+#include "cr_suspects/cr_suspects.h"
+
+namespace cr {
+
+/** What all flows of a node share. Every member is either constant or thread
+    safe by itself; flows keep a reference and never hold two locks. */
+struct NodeShared
+{
+  /** Starts a node that knows nobody yet. */
+  NodeShared(NodeIdentity aIdentity, PolicySwitches aPolicy)
+    : m_identity(std::move(aIdentity))
+    , m_policy(aPolicy)
+    , m_routers(m_identity, m_policy)
+  {
+  }
+
+  const NodeIdentity m_identity;
+  const PolicySwitches m_policy;
+  ConfigurationHolder m_configuration;
+  RouterTable m_routers;
+  Guarded<SuspectTable> m_suspects;
+};
+
+}
--- a/modules/cr_node/shared/cr_RouterTable.cpp
+++ b/modules/cr_node/shared/cr_RouterTable.cpp
@@ -4,8 +4,10 @@
 
 namespace cr {
 
-RouterTable::RouterTable(const NodeIdentity& aIdentity)
+RouterTable::RouterTable(const NodeIdentity& aIdentity,
+                         const PolicySwitches& aPolicy)
   : m_identity(aIdentity)
+  , m_policy(aPolicy)
 {
 }
 
@@ -86,7 +88,8 @@
     router =
       std::make_shared<Guarded<Router>>(m_identity.m_region,
                                         m_identity.m_dataCentre,
-                                        Hash(aService, m_identity.m_seed));
+                                        Hash(aService, m_identity.m_seed),
+                                        m_policy);
   }
   return router;
 }
--- a/modules/cr_node/shared/cr_RouterTable.h
+++ b/modules/cr_node/shared/cr_RouterTable.h
@@ -17,8 +17,8 @@
 class RouterTable
 {
 public:
-  /** Starts without targets. */
-  explicit RouterTable(const NodeIdentity& aIdentity);
+  /** Starts without targets. The references must outlive the table. */
+  RouterTable(const NodeIdentity& aIdentity, const PolicySwitches& aPolicy);
 
   //==========================================================================
   /** Replaces the targets of every service; services that are not named have
@@ -49,6 +49,7 @@
   RouterPointer FindOrAdd(const std::string& aService);
 
   const NodeIdentity& m_identity;
+  const PolicySwitches& m_policy;
   mutable std::shared_mutex m_mutex;
   std::map<std::string, RouterPointer, std::less<>> m_routers;
 };
--- a/modules/cr_node/tests/cr_WholePathTest.cpp
+++ b/modules/cr_node/tests/cr_WholePathTest.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "cr_TestMesh.h"
+#include "mesh_stand_in/mesh_stand_in.h"
 
 namespace cr {
 
--- a/modules/cr_process/cr_process.h
+++ b/modules/cr_process/cr_process.h
@@ -9,3 +9,4 @@
 #include "cr_process/report/cr_StatusReport.h"
 #include "cr_process/server/cr_NodeServer.h"
 #include "cr_process/wire/cr_CallWire.h"
+#include "cr_process/wire/cr_RumourWire.h"
--- a/modules/cr_process/server/cr_NodeServer.cpp
+++ b/modules/cr_process/server/cr_NodeServer.cpp
@@ -12,6 +12,7 @@
 #include "cr_process/report/cr_Log.h"
 #include "cr_process/report/cr_StatusReport.h"
 #include "cr_process/wire/cr_CallWire.h"
+#include "cr_process/wire/cr_RumourWire.h"
 #include "cr_rpc/cr_rpc.h"
 #include "cr_transport/cr_transport.h"
 
@@ -21,6 +22,7 @@
 
 constexpr Duration kStoreTimeout = Seconds(2);
 constexpr Duration kWithdrawTimeout = Milliseconds(500);
+constexpr Duration kRumourTimeout = Milliseconds(500);
 constexpr Duration kLeavingNotice = Milliseconds(500);
 constexpr Duration kShutdownPoll = Milliseconds(10);
 
@@ -105,6 +107,8 @@
                       const HttpResponder& aResponder);
   void Announce(const HttpRequest& aRequest, const HttpResponder& aResponder);
   void HandleRpc(const HttpRequest& aRequest, const HttpResponder& aResponder);
+  template<typename Answer>
+  Json::Value AnswerRpc(const Event& aEvent);
 
   void Open(CallId aCall, const HttpResponder& aResponder, bool aFromPeer);
   void Feed(const Event& aEvent);
@@ -117,6 +121,8 @@
   void Do(const CancelHandOver& aAction);
   void Do(const AnswerCall& aAction);
   void Do(const AnswerWithdraw& aAction);
+  void Do(const SendRumour& aAction);
+  void Do(const AnswerRumour& aAction);
   void Do(const CallStore& aAction);
   void Do(const WriteLog& aAction);
 
@@ -303,33 +309,40 @@
   aResponder.Send(MakeTextResponse(kHttpOk, "{}", "application/json"));
 }
 
+/* Feeds an event that is answered at once, and returns its answer. */
+template<typename Answer>
+Json::Value
+NodeServer::Implementation::AnswerRpc(const Event& aEvent)
+{
+  Actions actions;
+  m_decisions.Handle(aEvent, Now(), actions);
+  Json::Value result(Json::objectValue);
+  for (const Action& action : actions) {
+    if (const auto* answer = std::get_if<Answer>(&action)) {
+      result = EncodeAnswer(*answer);
+    } else {
+      std::visit([this](const auto& aTyped) { Do(aTyped); }, action);
+    }
+  }
+  ArmTimer();
+  return result;
+}
+
 void
 NodeServer::Implementation::HandleRpc(const HttpRequest& aRequest,
                                       const HttpResponder& aResponder)
 {
   RpcServer server;
-  server.Bind("withdraw", [&](const Json::Value& aParameters) {
-    const auto attempt =
-      ParseIdentifier<AttemptTag>(aParameters["attempt"].asString());
-    if (!attempt) {
-      throw Json::RuntimeError("attempt is malformed");
-    }
-    const CallId call = NextCallId(0);
-    Actions actions;
-    m_decisions.Handle(
-      WithdrawAsked{
-        call, *attempt, Incarnation{ aParameters["incarnation"].asUInt64() } },
-      Now(),
-      actions);
-    Json::Value result(Json::objectValue);
-    for (const Action& action : actions) {
-      if (const auto* answer = std::get_if<AnswerWithdraw>(&action)) {
-        result["result"] = static_cast<int>(answer->m_result);
-      } else {
-        std::visit([this](const auto& aTyped) { Do(aTyped); }, action);
-      }
+  server.Bind("withdraw", [this](const Json::Value& aParameters) {
+    return AnswerRpc<AnswerWithdraw>(ParseWithdraw(aParameters, NextCallId(0)));
+  });
+  server.Bind("rumour", [this](const Json::Value& aParameters) {
+    auto rumour = DecodeRumour(aParameters);
+    if (!rumour) {
+      throw Json::RuntimeError(rumour.error().m_text);
     }
-    return result;
+    return AnswerRpc<AnswerRumour>(
+      RumourArrived{ NextCallId(0), std::move(*rumour) });
   });
   aResponder.Send(MakeTextResponse(
     kHttpOk, server.Answer(aRequest.m_body), "application/json"));
@@ -512,6 +525,39 @@
   /* Answered where the withdrawal was asked. @see HandleRpc */
 }
 
+void
+NodeServer::Implementation::Do(const SendRumour& aAction)
+{
+  m_client.Send(
+    aAction.m_peer,
+    { "POST",
+      std::string(kRpcPath),
+      { { "Content-Type", "application/json" } },
+      EncodeRpcCall("rumour", EncodeRumour(aAction.m_rumour)) },
+    kRumourTimeout,
+    [weak = weak_from_this(), id = aAction.m_id](const HttpResult& aResult) {
+      const auto self = weak.lock();
+      if (!self) {
+        return;
+      }
+      RumourAnswered answered{ id, std::nullopt };
+      if (const auto* response = std::get_if<HttpResponse>(&aResult)) {
+        const RpcReply reply = DecodeRpcReply(response->m_body);
+        auto rumour = DecodeRumour(reply.m_result);
+        if (reply.m_ok && rumour) {
+          answered.m_rumour = std::move(*rumour);
+        }
+      }
+      self->Feed(answered);
+    });
+}
+
+void
+NodeServer::Implementation::Do(const AnswerRumour& /*aAction*/)
+{
+  /* Answered where the rumour arrived. @see HandleRpc */
+}
+
 void
 NodeServer::Implementation::Do(const CallStore& aAction)
 {
--- /dev/null
+++ b/modules/cr_process/wire/cr_RumourWire.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <json/json.h>
+
+#include "cr_node/cr_node.h"
+
+namespace cr {
+
+/** Writes a rumour as the parameters or the result of a remote call. Thread
+    safe. */
+Json::Value
+EncodeRumour(const Rumour& aRumour);
+
+/** Reads a rumour; an error when it is malformed. Thread safe. */
+Expected<Rumour>
+DecodeRumour(const Json::Value& aValue);
+
+/** Writes the answer of a rumour. Thread safe. */
+Json::Value
+EncodeAnswer(const AnswerRumour& aAnswer);
+
+/** Writes the answer of a withdrawal. Thread safe. */
+Json::Value
+EncodeAnswer(const AnswerWithdraw& aAnswer);
+
+/** Reads the parameters of a withdrawal. Throws Json::Exception when they are
+    malformed. Thread safe. */
+WithdrawAsked
+ParseWithdraw(const Json::Value& aParameters, CallId aCall);
+
+}
--- a/modules/cr_routing/router/cr_Router.cpp
+++ b/modules/cr_routing/router/cr_Router.cpp
@@ -6,10 +6,12 @@
 
 Router::Router(std::string aRegion,
                std::string aDataCentre,
-               std::uint64_t aSeed)
+               std::uint64_t aSeed,
+               const PolicySwitches& aPolicy)
   : m_region(std::move(aRegion))
   , m_dataCentre(std::move(aDataCentre))
   , m_random(aSeed)
+  , m_policy(aPolicy)
 {
 }
 
@@ -46,7 +48,9 @@
   }
   Entry* first = allowed[m_random.Below(allowed.size())];
   Entry* second = allowed[m_random.Below(allowed.size())];
-  Entry* best = second->m_inFlight < first->m_inFlight ? second : first;
+  const bool secondIsBetter =
+    m_policy.m_twoChoices && second->m_inFlight < first->m_inFlight;
+  Entry* best = secondIsBetter ? second : first;
   ++best->m_inFlight;
   return best->m_target;
 }
--- a/modules/cr_routing/router/cr_Router.h
+++ b/modules/cr_routing/router/cr_Router.h
@@ -40,7 +40,10 @@
 {
 public:
   /** The places are those of the node that routes. */
-  Router(std::string aRegion, std::string aDataCentre, std::uint64_t aSeed);
+  Router(std::string aRegion,
+         std::string aDataCentre,
+         std::uint64_t aSeed,
+         const PolicySwitches& aPolicy);
 
   //==========================================================================
   /** Replaces the targets; what is known of those that stay is kept. */
@@ -71,6 +74,7 @@
   std::string m_region;
   std::string m_dataCentre;
   Random m_random;
+  PolicySwitches m_policy;
   std::vector<Entry> m_entries;
 };
 
--- a/modules/cr_node/tests/cr_TestMesh.cpp
+++ b/stand_ins/mesh_stand_in/mesh/cr_TestMesh.cpp
@@ -1,4 +1,4 @@
-#include "cr_TestMesh.h"
+#include "mesh_stand_in/mesh/cr_TestMesh.h"
 
 #include <stdexcept>
 
@@ -10,9 +10,25 @@
 constexpr Duration kStoreDelay = Milliseconds(2);
 constexpr Duration kStoreTimeout = Seconds(2);
 constexpr Duration kWithdrawTimeout = Milliseconds(500);
+constexpr Duration kRumourTimeout = Milliseconds(500);
 constexpr WallMilliseconds kWallStart = 1'800'000'000'000;
 constexpr std::uint16_t kFirstPort = 10000;
 
+Configuration
+BuildGraph(const std::vector<ServiceFileText>& aFiles)
+{
+  Findings findings;
+  std::vector<ServiceDescription> services;
+  for (const ServiceFileText& file : aFiles) {
+    services.push_back(ParseServiceFile(file.m_file, file.m_text, findings));
+  }
+  Configuration graph = BuildConfiguration(1, services, findings);
+  if (!findings.empty()) {
+    throw std::invalid_argument(ToText(findings));
+  }
+  return graph;
+}
+
 }
 
 /* Who waits for the answer of a call that a node has open. */
@@ -49,14 +65,17 @@
   std::map<AttemptId, HostName> m_forwarded;
   std::map<CallId, std::shared_ptr<Job>> m_jobs;
   std::map<CallId, std::function<void(WithdrawResult)>> m_withdrawals;
+  std::map<CallId, std::function<void(const Rumour&)>> m_rumourAnswers;
   std::vector<Event> m_waiting;
   Instant m_timerAt = Instant::max();
 };
 
 TestMesh::TestMesh(std::vector<MeshHost> aHosts,
-                   std::vector<ServiceFileText> aFiles,
-                   std::uint64_t aSeed)
+                   const std::vector<ServiceFileText>& aFiles,
+                   std::uint64_t aSeed,
+                   PolicySwitches aPolicy)
   : m_random(aSeed)
+  , m_policy(aPolicy)
 {
   std::uint16_t port = kFirstPort;
   for (MeshHost& plan : aHosts) {
@@ -65,6 +84,7 @@
     host->m_plan = std::move(plan);
     m_hosts.emplace(host->m_plan.m_host, std::move(host));
   }
+  m_graph = BuildGraph(aFiles);
   PublishFiles(aFiles, "test");
   for (auto& [name, host] : m_hosts) {
     RestartNode(name);
@@ -157,7 +177,8 @@
                   host.m_plan.m_region,
                   host.m_plan.m_dataCentre,
                   host.m_peer,
-                  Hash(aHost, host.m_incarnation) });
+                  Hash(aHost, host.m_incarnation) },
+    m_policy);
   Feed(aHost, TimerDue{});
 }
 
@@ -398,14 +419,9 @@
   if (aJob->m_cancelled || !host.m_jobs.contains(id)) {
     return;
   }
-  Findings findings;
   const CallHeader& header = aJob->m_handOver.m_header;
-  static const std::map<OperationName, OperationName> children = {
-    { { "shop", "book" }, { "price", "quote" } },
-    { { "price", "quote" }, { "stock", "count" } }
-  };
-  const auto child = children.find(header.m_operation);
-  if (child == children.end() || aJob->m_nextCall > 0) {
+  const OperationDescription* operation = m_graph.Find(header.m_operation);
+  if (operation == nullptr || aJob->m_nextCall == operation->m_calls.size()) {
     host.m_jobs.erase(id);
     Feed(aHost,
          ServerAnswered{
@@ -415,13 +431,14 @@
              "text/plain", ToText(header.m_request) + ' ' + aJob->m_tree }) });
     return;
   }
+  const OperationName& child = operation->m_calls.at(aJob->m_nextCall).m_name;
   ++aJob->m_nextCall;
   const CallId call = MakeCallId(++m_sequence, 1);
   host.m_origins[call].m_parent = aJob;
   Feed(aHost,
        ChildCall{ call,
                   aJob->m_handOver.m_token,
-                  child->second,
+                  child,
                   header.m_key,
                   std::nullopt,
                   aJob->m_handOver.m_payload });
@@ -529,6 +546,46 @@
   });
 }
 
+void
+TestMesh::Do(Host& aHost, const SendRumour& aAction)
+{
+  const HostName from = aHost.m_plan.m_host;
+  Host& target = HostOf(aAction.m_peer);
+  const auto settled = std::make_shared<bool>(false);
+  const auto answer =
+    [this, from, settled, id = aAction.m_id](std::optional<Rumour> aRumour) {
+      if (!std::exchange(*settled, true)) {
+        Feed(from, RumourAnswered{ id, std::move(aRumour) });
+      }
+    };
+  After(kRumourTimeout, [answer] { answer(std::nullopt); });
+  ++m_rumours;
+  if (IsCut(from, target.m_plan.m_host)) {
+    return;
+  }
+  After(m_faults.m_linkDelay,
+        [this, answer, to = target.m_plan.m_host, rumour = aAction.m_rumour] {
+          const CallId id = MakeCallId(++m_sequence, 0);
+          m_hosts.at(to)->m_rumourAnswers[id] = [this, answer](
+                                                  const Rumour& aRumour) {
+            After(m_faults.m_linkDelay, [answer, aRumour] { answer(aRumour); });
+          };
+          Feed(to, RumourArrived{ id, rumour });
+        });
+}
+
+void
+TestMesh::Do(Host& aHost, const AnswerRumour& aAction)
+{
+  const auto found = aHost.m_rumourAnswers.find(aAction.m_call);
+  if (found == aHost.m_rumourAnswers.end()) {
+    return;
+  }
+  const auto answer = found->second;
+  aHost.m_rumourAnswers.erase(found);
+  answer(aAction.m_rumour);
+}
+
 void
 TestMesh::Do(Host& /*aHost*/, const WriteLog& /*aAction*/)
 {
--- a/modules/cr_node/tests/cr_TestMesh.h
+++ b/stand_ins/mesh_stand_in/mesh/cr_TestMesh.h
@@ -58,8 +58,9 @@
 public:
   /** Starts the hosts and puts the service files into force. */
   TestMesh(std::vector<MeshHost> aHosts,
-           std::vector<ServiceFileText> aFiles,
-           std::uint64_t aSeed);
+           const std::vector<ServiceFileText>& aFiles,
+           std::uint64_t aSeed,
+           PolicySwitches aPolicy = {});
   ~TestMesh();
   TestMesh(const TestMesh&) = delete;
   TestMesh& operator=(const TestMesh&) = delete;
@@ -123,6 +124,8 @@
   std::uint32_t Crashes() const { return m_crashes; }
   /** Store requests that nodes made. */
   std::uint64_t StoreCalls() const { return m_storeCalls; }
+  /** Rumours that nodes sent. */
+  std::uint64_t Rumours() const { return m_rumours; }
 
 private:
   struct Host;
@@ -160,15 +163,19 @@
   void Do(Host& aHost, const AnswerCall& aAction);
   void Do(Host& aHost, const AnswerWithdraw& aAction);
   void Do(Host& aHost, const CallStore& aAction);
+  void Do(Host& aHost, const SendRumour& aAction);
+  void Do(Host& aHost, const AnswerRumour& aAction);
   void Do(Host& aHost, const WriteLog& aAction);
 
   Random m_random;
+  PolicySwitches m_policy;
   Instant m_now;
   std::uint64_t m_order = 0;
   std::uint64_t m_sequence = 0;
   std::uint64_t m_publications = 0;
   std::priority_queue<Scheduled, std::vector<Scheduled>, Later> m_schedule;
   std::map<HostName, std::unique_ptr<Host>> m_hosts;
+  Configuration m_graph;
   InProcessPlatform m_platform;
   MeshFaults m_faults;
   std::vector<MeshAnswer> m_answers;
@@ -177,6 +184,7 @@
   std::map<std::string, std::uint32_t> m_runsByKey;
   std::uint32_t m_crashes = 0;
   std::uint64_t m_storeCalls = 0;
+  std::uint64_t m_rumours = 0;
 };
 
 /** The service files of a small booking graph: shop/book (protected, not
