--- a/stand_ins/mesh_stand_in/mesh/cr_TestMesh.cpp
+++ b/stand_ins/mesh_stand_in/mesh/cr_TestMesh.cpp
@@ -19,6 +19,7 @@
 {
   Findings findings;
   std::vector<ServiceDescription> services;
+  services.reserve(aFiles.size());
   for (const ServiceFileText& file : aFiles) {
     services.push_back(ParseServiceFile(file.m_file, file.m_text, findings));
   }
