Membership by rumours; configuration from peers

Cause: nodes only read the whole table every second, no rumour was ever sent, and a read of the head dropped a fetch that was still running.

Change: MembershipView merges rows by incarnation and revision, lapses rows by observed row versions, spreads changes and compares digests. DirectoryFlow writes its row and reads one page about every 15 s, sends rumours, and answers them. ConfigurationFlow takes a newer generation named by a rumour from its sender (new events ObjectAsked and ObjectAnswered, remote method "object"). Rows and rumours are written as lists and one-letter keys.

--- a/modules/cr_membership/cr_membership.h
+++ b/modules/cr_membership/cr_membership.h
@@ -4,3 +4,4 @@
     this picture fresh. Pure. */
 
 #include "cr_membership/rows/cr_NodeRow.h"
+#include "cr_membership/view/cr_MembershipView.h"
--- a/modules/cr_membership/rows/cr_NodeRow.cpp
+++ b/modules/cr_membership/rows/cr_NodeRow.cpp
@@ -9,37 +9,99 @@
 constexpr std::array<std::string_view, 3> kStateNames = { "absent",
                                                           "ready",
                                                           "leaving" };
+constexpr std::size_t kLongestText = 256;
 
-Expected<ServerState>
-ParseState(std::string_view aText)
+/* Places of the members in the list. */
+constexpr Json::ArrayIndex kHost = 0;
+constexpr Json::ArrayIndex kIncarnation = 1;
+constexpr Json::ArrayIndex kRevision = 2;
+constexpr Json::ArrayIndex kRegion = 3;
+constexpr Json::ArrayIndex kDataCentre = 4;
+constexpr Json::ArrayIndex kAddress = 5;
+constexpr Json::ArrayIndex kPort = 6;
+constexpr Json::ArrayIndex kService = 7;
+constexpr Json::ArrayIndex kState = 8;
+constexpr Json::ArrayIndex kMemberCount = 9;
+
+std::string
+ReadText(const Json::Value& aValue)
 {
-  for (std::size_t index = 0; index < kStateNames.size(); ++index) {
-    if (kStateNames.at(index) == aText) {
-      return static_cast<ServerState>(index);
-    }
+  std::string text = aValue.asString();
+  if (text.size() > kLongestText) {
+    throw Json::RuntimeError("a text of a node's row is too long");
   }
-  return Failure(ErrorCode::Malformed, "unknown state of a backend server");
+  return text;
+}
+
+NodeRow
+ReadRow(const Json::Value& aValue)
+{
+  const Json::UInt port = aValue[kPort].asUInt();
+  const Json::UInt state = aValue[kState].asUInt();
+  NodeRow row{ ReadText(aValue[kHost]),
+               Incarnation{ aValue[kIncarnation].asUInt64() },
+               aValue[kRevision].asUInt64(),
+               ReadText(aValue[kRegion]),
+               ReadText(aValue[kDataCentre]),
+               { ReadText(aValue[kAddress]), static_cast<std::uint16_t>(port) },
+               ReadText(aValue[kService]),
+               static_cast<ServerState>(state) };
+  if (row.m_host.empty() || port == 0 || port > UINT16_MAX ||
+      state >= kStateNames.size()) {
+    throw Json::RuntimeError("a member of a node's row is out of range");
+  }
+  return row;
+}
+
+}
+
+bool
+IsNewer(const NodeRow& aRow, const NodeRow& aThan)
+{
+  return aRow.m_incarnation != aThan.m_incarnation
+           ? aRow.m_incarnation > aThan.m_incarnation
+           : aRow.m_revision > aThan.m_revision;
+}
+
+std::string_view
+ToText(ServerState aState)
+{
+  return kStateNames.at(static_cast<std::size_t>(aState));
 }
 
+Json::Value
+ToJson(const NodeRow& aRow)
+{
+  Json::Value value(Json::arrayValue);
+  value.append(aRow.m_host);
+  value.append(Json::UInt64(static_cast<std::uint64_t>(aRow.m_incarnation)));
+  value.append(Json::UInt64(aRow.m_revision));
+  value.append(aRow.m_region);
+  value.append(aRow.m_dataCentre);
+  value.append(aRow.m_peer.m_address);
+  value.append(aRow.m_peer.m_port);
+  value.append(aRow.m_service);
+  value.append(static_cast<Json::UInt>(aRow.m_state));
+  return value;
+}
+
+Expected<NodeRow>
+ParseNodeRow(const Json::Value& aValue)
+{
+  if (!aValue.isArray() || aValue.size() != kMemberCount) {
+    return Failure(ErrorCode::Malformed, "a node's row is not a list of nine");
+  }
+  try {
+    return ReadRow(aValue);
+  } catch (const Json::Exception& exception) {
+    return Failure(ErrorCode::Malformed, exception.what());
+  }
 }
 
 std::string
 EncodeNodeRow(const NodeRow& aRow)
 {
-  Json::Value value(Json::objectValue);
-  value["host"] = aRow.m_host;
-  value["incarnation"] =
-    Json::UInt64(static_cast<std::uint64_t>(aRow.m_incarnation));
-  value["revision"] = Json::UInt64(aRow.m_revision);
-  value["region"] = aRow.m_region;
-  value["data_centre"] = aRow.m_dataCentre;
-  value["address"] = aRow.m_peer.m_address;
-  value["port"] = aRow.m_peer.m_port;
-  value["service"] = aRow.m_service;
-  value["state"] =
-    std::string(kStateNames.at(static_cast<std::size_t>(aRow.m_state)));
-  value["lapses"] = Json::Int64(aRow.m_lapses);
-  return WriteJson(value);
+  return WriteJson(ToJson(aRow));
 }
 
 Expected<NodeRow>
@@ -49,24 +111,7 @@
   if (!value) {
     return tl::unexpected(value.error());
   }
-  try {
-    const auto state = ParseState((*value)["state"].asString());
-    if (!state) {
-      return tl::unexpected(state.error());
-    }
-    return NodeRow{ (*value)["host"].asString(),
-                    Incarnation{ (*value)["incarnation"].asUInt64() },
-                    (*value)["revision"].asUInt64(),
-                    (*value)["region"].asString(),
-                    (*value)["data_centre"].asString(),
-                    { (*value)["address"].asString(),
-                      static_cast<std::uint16_t>((*value)["port"].asUInt()) },
-                    (*value)["service"].asString(),
-                    *state,
-                    (*value)["lapses"].asInt64() };
-  } catch (const Json::Exception& exception) {
-    return Failure(ErrorCode::Malformed, exception.what());
-  }
+  return ParseNodeRow(*value);
 }
 
 }
--- a/modules/cr_membership/rows/cr_NodeRow.h
+++ b/modules/cr_membership/rows/cr_NodeRow.h
@@ -32,18 +32,36 @@
   Endpoint m_peer;
   std::string m_service;
   ServerState m_state = ServerState::Absent;
-  /** Wall-clock time at which the row lapses unless renewed. */
-  WallMilliseconds m_lapses = 0;
+
+  bool operator==(const NodeRow&) const = default;
 };
 
+/** Returns whether the first row is of a later incarnation of its host, or of a
+    later revision of the same incarnation. Thread safe. */
+bool
+IsNewer(const NodeRow& aRow, const NodeRow& aThan);
+
+/** Returns the state's name in rows and reports. Thread safe. */
+std::string_view
+ToText(ServerState aState);
+
 /** Name of the table that holds a row for each node. */
 inline constexpr std::string_view kNodeTable = "nodes";
 
-/** Writes a node's row as JSON. Thread safe. */
+/** Writes a node's row as a JSON list without keys, the form in which rows
+    travel. Thread safe. */
+Json::Value
+ToJson(const NodeRow& aRow);
+
+/** Reads a node's row from its JSON list. Thread safe. */
+Expected<NodeRow>
+ParseNodeRow(const Json::Value& aValue);
+
+/** Writes a node's row as text. Thread safe. */
 std::string
 EncodeNodeRow(const NodeRow& aRow);
 
-/** Reads a node's row. Thread safe. */
+/** Reads a node's row from text. Thread safe. */
 Expected<NodeRow>
 DecodeNodeRow(std::string_view aText);
 
--- /dev/null
+++ b/modules/cr_membership/tests/cr_MembershipViewTest.cpp
@@ -0,0 +1,171 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "cr_membership/cr_membership.h"
+
+namespace cr {
+
+namespace {
+
+constexpr std::uint16_t kPort = 1000;
+
+NodeRow
+MakeRow(const HostName& aHost,
+        std::uint64_t aIncarnation,
+        std::uint64_t aRevision,
+        std::uint16_t aPort)
+{
+  return { aHost, Incarnation{ aIncarnation }, aRevision, "r",
+           "a",   { "127.0.0.1", aPort },      "shop",    ServerState::Ready };
+}
+
+MembershipView
+MakeView()
+{
+  return MembershipView(MakeRow("self", 1, 1, kPort));
+}
+
+Instant
+At(std::int64_t aSeconds)
+{
+  return Instant(Seconds(aSeconds));
+}
+
+ObservedPage
+WholeTable(std::vector<ObservedRow> aRows)
+{
+  return { std::move(aRows), {}, {} };
+}
+
+/* Any order and any repetition of what was told gives the newest row of each
+   host, and no host's row ever goes back. */
+RC_GTEST_PROP(MembershipViewProperty, NewestRowWinsInAnyOrder, ())
+{
+  const auto told =
+    *rc::gen::container<std::vector<std::tuple<int, int, int>>>(rc::gen::tuple(
+      rc::gen::inRange(0, 4), rc::gen::inRange(0, 4), rc::gen::inRange(0, 4)));
+  MembershipView view = MakeView();
+  std::map<HostName, std::pair<int, int>> newest;
+  for (const auto& [number, incarnation, revision] : told) {
+    const HostName host = "host-" + std::to_string(number);
+    auto& best = newest.try_emplace(host, -1, -1).first->second;
+    best = std::max(best, std::pair(incarnation, revision));
+    view.Learn(MakeRow(host, incarnation, revision, kPort + 1 + number),
+               RowSource::News,
+               At(1));
+    const NodeRow* row = view.Find(host);
+    RC_ASSERT(row != nullptr);
+    RC_ASSERT(static_cast<int>(row->m_incarnation) == best.first);
+    RC_ASSERT(static_cast<int>(row->m_revision) == best.second);
+  }
+}
+
+/* Two views that took in the same rows have the same digests, whatever the
+   order; one row more makes them differ. */
+RC_GTEST_PROP(MembershipViewProperty, DigestsTellWhetherViewsAgree, ())
+{
+  const auto count = *rc::gen::inRange(1, 60);
+  std::vector<NodeRow> rows;
+  for (int number = 0; number < count; ++number) {
+    rows.push_back(MakeRow("host-" + std::to_string(number),
+                           1,
+                           static_cast<std::uint64_t>(number),
+                           static_cast<std::uint16_t>(kPort + 1 + number)));
+  }
+  MembershipView first = MakeView();
+  MembershipView second = MakeView();
+  for (const NodeRow& row : rows) {
+    first.Learn(row, RowSource::Copy, At(1));
+  }
+  std::reverse(rows.begin(), rows.end());
+  for (const NodeRow& row : rows) {
+    RC_ASSERT(first.Digest() != second.Digest());
+    second.Learn(row, RowSource::Copy, At(1));
+  }
+  RC_ASSERT(first.Digests() == second.Digests());
+  RC_ASSERT(first.Digest() == second.Digest());
+}
+
+TEST(MembershipView, UnrenewedRowLapsesAndStaysSo)
+{
+  MembershipView view = MakeView();
+  const ObservedRow dead{ MakeRow("dead", 1, 1, kPort + 1), 7 };
+  ObservedRow alive{ MakeRow("alive", 1, 1, kPort + 2), 8 };
+  for (int second = 0; second <= 120; second += 15) {
+    alive.m_version = 100U + static_cast<RowVersion>(second);
+    view.Observe(WholeTable({ alive, dead }), At(second));
+  }
+  EXPECT_EQ(view.Find("dead"), nullptr);
+  EXPECT_NE(view.Find("alive"), nullptr);
+  EXPECT_FALSE(view.Learn(dead.m_row, RowSource::News, At(130)));
+  EXPECT_EQ(view.Find("dead"), nullptr);
+  EXPECT_TRUE(
+    view.Learn(MakeRow("dead", 2, 0, kPort + 1), RowSource::News, At(131)));
+  EXPECT_NE(view.Find("dead"), nullptr);
+}
+
+TEST(MembershipView, NothingLapsesForALeaseAfterAnOutage)
+{
+  MembershipView view = MakeView();
+  const ObservedRow other{ MakeRow("other", 1, 1, kPort + 1), 7 };
+  view.Observe(WholeTable({ other }), At(0));
+  view.ReportOutage(At(600));
+  view.Observe(WholeTable({ other }), At(610));
+  EXPECT_NE(view.Find("other"), nullptr);
+  view.Observe(WholeTable({}), At(640));
+  EXPECT_NE(view.Find("other"), nullptr);
+  view.Observe(WholeTable({ other }), At(660));
+  EXPECT_EQ(view.Find("other"), nullptr);
+}
+
+TEST(MembershipView, SuccessorAtTheSameAddressReplacesTheFormerHost)
+{
+  MembershipView view = MakeView();
+  const NodeRow former = MakeRow("former", 10, 5, kPort + 1);
+  const NodeRow successor = MakeRow("successor", 20, 1, kPort + 1);
+  view.Learn(successor, RowSource::News, At(1));
+  view.Learn(former, RowSource::News, At(2));
+  EXPECT_EQ(view.Find("former"), nullptr);
+  EXPECT_NE(view.Find("successor"), nullptr);
+
+  MembershipView inOrder = MakeView();
+  inOrder.Learn(former, RowSource::News, At(1));
+  inOrder.Learn(successor, RowSource::News, At(2));
+  EXPECT_EQ(inOrder.Find("former"), nullptr);
+  EXPECT_EQ(inOrder.Digests(), view.Digests());
+}
+
+TEST(MembershipView, ChangesAreToldABoundedNumberOfTimes)
+{
+  MembershipView view = MakeView();
+  view.Learn(MakeRow("other", 1, 1, kPort + 1), RowSource::Copy, At(1));
+  unsigned tellings = 0;
+  while (!view.TakeNews(10).empty()) {
+    ++tellings;
+    ASSERT_LE(tellings, view.Tellings());
+  }
+  EXPECT_GT(tellings, 0U);
+  EXPECT_FALSE(view.SetServer("shop", ServerState::Ready, At(2)));
+  EXPECT_FALSE(view.HasNews());
+  EXPECT_TRUE(view.SetServer("shop", ServerState::Leaving, At(2)));
+  EXPECT_TRUE(view.HasNews());
+}
+
+TEST(MembershipView, DeadRowsAreRemovedFromTheTableByCondition)
+{
+  MembershipView view = MakeView();
+  const ObservedRow dead{ MakeRow("dead", 1, 1, kPort + 1), 7 };
+  std::vector<RowCondition> expired;
+  for (int second = 0; second < 3600; second += 100) {
+    expired = view.Observe(WholeTable({ dead }), At(second));
+    ASSERT_TRUE(expired.empty());
+  }
+  expired = view.Observe(WholeTable({ dead }), At(3600));
+  ASSERT_EQ(expired.size(), 1U);
+  EXPECT_EQ(expired.front().m_row.m_key, "dead");
+  EXPECT_EQ(expired.front().m_version, 7U);
+}
+
+}
+
+}
--- a/modules/cr_node/decisions/cr_NodeDecisions.cpp
+++ b/modules/cr_node/decisions/cr_NodeDecisions.cpp
@@ -34,9 +34,20 @@
                              AttemptFailed,
                              WithdrawAnswered>) {
         DoAtEntry(aTyped, aMoment, aActions);
+        if constexpr (std::is_same_v<Type, AttemptAnswered>) {
+          NoticeGeneration(
+            aTyped.m_report.m_generation, std::nullopt, aMoment, aActions);
+        }
       } else if constexpr (
         kIsOneOf<Type, PeerCall, WithdrawAsked, ServerAnswered, ServerFailed>) {
         DoAtGate(aTyped, aMoment, aActions);
+        if constexpr (std::is_same_v<Type, PeerCall>) {
+          NoticeGeneration(
+            aTyped.m_header.m_generation, std::nullopt, aMoment, aActions);
+        }
+        if constexpr (std::is_same_v<Type, ServerFailed>) {
+          TellChanges(aMoment, aActions);
+        }
       } else {
         Do(aTyped, aMoment, aActions);
       }
@@ -76,7 +87,7 @@
   }
   status.m_hosts = m_shared.m_routers.Sizes();
   status.m_knownNodes = m_directory.With(
-    [](const DirectoryFlow& aFlow) { return aFlow.Rows().size(); });
+    [](const DirectoryFlow& aFlow) { return aFlow.View().Size(); });
   return status;
 }
 
@@ -139,18 +150,47 @@
   });
   m_directory.With(
     [&](DirectoryFlow& aFlow) { aFlow.Handle(aEvent, aMoment, aActions); });
+  NoticeGeneration(aEvent.m_rumour.m_generation,
+                   aEvent.m_rumour.m_sender.m_peer,
+                   aMoment,
+                   aActions);
 }
 
 void
 NodeDecisions::Do(const RumourAnswered& aEvent,
                   Moment aMoment,
-                  Actions& /*aActions*/)
+                  Actions& aActions)
 {
   if (aEvent.m_rumour) {
     m_shared.m_suspects.With([&](SuspectTable& aTable) {
       aTable.Learn(aEvent.m_rumour->m_suspects, aMoment.m_now);
     });
   }
+  m_directory.With(
+    [&](DirectoryFlow& aFlow) { aFlow.Handle(aEvent, aMoment, aActions); });
+  if (aEvent.m_rumour) {
+    NoticeGeneration(aEvent.m_rumour->m_generation,
+                     aEvent.m_rumour->m_sender.m_peer,
+                     aMoment,
+                     aActions);
+  }
+}
+
+void
+NodeDecisions::Do(const ObjectAsked& aEvent, Moment aMoment, Actions& aActions)
+{
+  m_configurationFlow.With(
+    [&](ConfigurationFlow& aFlow) { aFlow.Handle(aEvent, aMoment, aActions); });
+}
+
+void
+NodeDecisions::Do(const ObjectAnswered& aEvent,
+                  Moment aMoment,
+                  Actions& aActions)
+{
+  m_configurationFlow.With(
+    [&](ConfigurationFlow& aFlow) { aFlow.Handle(aEvent, aMoment, aActions); });
+  TellChanges(aMoment, aActions);
 }
 
 void
@@ -167,6 +207,7 @@
       m_configurationFlow.With([&](ConfigurationFlow& aFlow) {
         aFlow.Handle(aEvent, aMoment, aActions);
       });
+      TellChanges(aMoment, aActions);
       return;
     case StoreClient::Ownership:
       return;
@@ -180,8 +221,12 @@
   m_gate.With([&](GateFlow& aFlow) { aFlow.Advance(aMoment, output); });
   Settle(std::move(output), aActions);
   ShareServerState(aMoment, aActions);
-  m_configurationFlow.With(
-    [&](ConfigurationFlow& aFlow) { aFlow.Advance(aMoment, aActions); });
+  const std::size_t nodes = m_directory.With(
+    [](const DirectoryFlow& aFlow) { return aFlow.View().Size(); });
+  m_configurationFlow.With([&](ConfigurationFlow& aFlow) {
+    aFlow.SetFleetSize(nodes);
+    aFlow.Advance(aMoment, aActions);
+  });
 }
 
 void
@@ -232,13 +277,37 @@
             std::back_inserter(aActions));
 }
 
+/* A call or a rumour named a generation that is in force elsewhere. */
+void
+NodeDecisions::NoticeGeneration(Generation aGeneration,
+                                const std::optional<Endpoint>& aPeer,
+                                Moment aMoment,
+                                Actions& aActions)
+{
+  if (aGeneration <= m_shared.m_configuration.Current()->m_generation) {
+    return;
+  }
+  m_configurationFlow.With([&](ConfigurationFlow& aFlow) {
+    aFlow.Notice(aGeneration, aPeer, aMoment, aActions);
+  });
+}
+
+void
+NodeDecisions::TellChanges(Moment aMoment, Actions& aActions)
+{
+  m_directory.With([&](DirectoryFlow& aFlow) {
+    aFlow.TellChanges(aMoment);
+    aFlow.Advance(aMoment, aActions);
+  });
+}
+
 void
 NodeDecisions::ShareServerState(Moment aMoment, Actions& aActions)
 {
   const ServerView server =
     m_gate.With([](const GateFlow& aFlow) { return aFlow.Server(); });
   m_directory.With([&](DirectoryFlow& aFlow) {
-    aFlow.SetServer(server.m_service, server.m_state);
+    aFlow.SetServer(server.m_service, server.m_state, aMoment);
     aFlow.Advance(aMoment, aActions);
   });
 }
--- a/modules/cr_node/decisions/cr_NodeDecisions.h
+++ b/modules/cr_node/decisions/cr_NodeDecisions.h
@@ -59,6 +59,8 @@
   void Do(const ServerAnnounced& aEvent, Moment aMoment, Actions& aActions);
   void Do(const RumourArrived& aEvent, Moment aMoment, Actions& aActions);
   void Do(const RumourAnswered& aEvent, Moment aMoment, Actions& aActions);
+  void Do(const ObjectAsked& aEvent, Moment aMoment, Actions& aActions);
+  void Do(const ObjectAnswered& aEvent, Moment aMoment, Actions& aActions);
   void Do(const StoreAnswered& aEvent, Moment aMoment, Actions& aActions);
   void Do(const TimerDue& aEvent, Moment aMoment, Actions& aActions);
   void Do(const ShutdownAsked& aEvent, Moment aMoment, Actions& aActions);
@@ -71,6 +73,11 @@
   void DoAtGate(const GateEvent& aEvent, Moment aMoment, Actions& aActions);
 
   void Settle(FlowOutput&& aOutput, Actions& aActions);
+  void NoticeGeneration(Generation aGeneration,
+                        const std::optional<Endpoint>& aPeer,
+                        Moment aMoment,
+                        Actions& aActions);
+  void TellChanges(Moment aMoment, Actions& aActions);
   void ShareServerState(Moment aMoment, Actions& aActions);
 
   NodeShared m_shared;
--- a/modules/cr_node/event/cr_Action.h
+++ b/modules/cr_node/event/cr_Action.h
@@ -82,6 +82,22 @@
   Rumour m_rumour;
 };
 
+/** Ask another node for an object of the configuration; report ObjectAnswered.
+ */
+struct AskObject
+{
+  std::uint64_t m_id = 0;
+  Endpoint m_peer;
+  std::string m_name;
+};
+
+/** Answer ObjectAsked; without content when the node does not have it. */
+struct AnswerObject
+{
+  CallId m_call{};
+  std::optional<std::string> m_content;
+};
+
 /** Ask the platform; report StoreAnswered. */
 struct CallStore
 {
@@ -107,6 +123,8 @@
                             AnswerWithdraw,
                             SendRumour,
                             AnswerRumour,
+                            AskObject,
+                            AnswerObject,
                             CallStore,
                             WriteLog>;
 
--- a/modules/cr_node/event/cr_Event.h
+++ b/modules/cr_node/event/cr_Event.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -157,11 +158,17 @@
 {
   /** The sender itself. */
   NodeRow m_sender;
-  /** Rows of other nodes that changed lately. */
+  /** Rows of other nodes that changed lately, or that were asked for. */
   std::vector<NodeRow> m_rows;
   /** Newest configuration that the sender has in force. */
   Generation m_generation = 0;
   std::vector<Suspect> m_suspects;
+  /** Digest of all rows that the sender knows. @see MembershipView::Digest */
+  std::uint32_t m_digest = 0;
+  /** Digests by bucket; empty, or one for each bucket. */
+  std::vector<std::uint32_t> m_buckets;
+  /** Buckets whose rows the sender wants in the answer. */
+  std::vector<std::uint32_t> m_wanted;
   /** The sender knows nobody and wants all rows. */
   bool m_wantsAll = false;
 };
@@ -180,6 +187,24 @@
   std::optional<Rumour> m_rumour;
 };
 
+/** Another node asks for an object of the configuration in force. */
+struct ObjectAsked
+{
+  CallId m_call{};
+  /** Name of the object; kHeadObject for the head. */
+  std::string m_name;
+};
+
+/** Another node answered, or failed to answer, AskObject. */
+struct ObjectAnswered
+{
+  std::uint64_t m_id = 0;
+  std::optional<std::string> m_content;
+};
+
+/** Name under which a node gives the head of its configuration in force. */
+inline constexpr std::string_view kHeadObject = "head";
+
 //==============================================================================
 /** The platform answered. */
 struct StoreAnswered
@@ -210,6 +235,8 @@
                            ServerFailed,
                            RumourArrived,
                            RumourAnswered,
+                           ObjectAsked,
+                           ObjectAnswered,
                            StoreAnswered,
                            TimerDue,
                            ShutdownAsked>;
--- a/modules/cr_node/flow/cr_ConfigurationFlow.cpp
+++ b/modules/cr_node/flow/cr_ConfigurationFlow.cpp
@@ -1,110 +1,243 @@
 #include "cr_node/flow/cr_ConfigurationFlow.h"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 namespace cr {
 
 namespace {
 
-constexpr Duration kInterval = Seconds(1);
+constexpr Duration kHeadIntervalPerNode = Milliseconds(10);
+constexpr Duration kLeastHeadInterval = Seconds(1);
+constexpr Duration kGreatestHeadInterval = Seconds(10);
+constexpr Duration kStepLimit = Seconds(3);
+constexpr Duration kPlatformHeadStart = Milliseconds(100);
+constexpr Duration kNoticeGap = Milliseconds(500);
+constexpr std::size_t kObjectLimit = 1024;
+constexpr double kJitterLeast = 0.75;
+constexpr double kJitterSpan = 0.5;
 
 }
 
 ConfigurationFlow::ConfigurationFlow(NodeShared& aShared)
   : m_shared(aShared)
+  , m_random(Hash("configuration", aShared.m_identity.m_seed))
 {
 }
 
+//==============================================================================
+void
+ConfigurationFlow::Notice(Generation aGeneration,
+                          const std::optional<Endpoint>& aPeer,
+                          Moment aMoment,
+                          Actions& aActions)
+{
+  if (aGeneration <= std::max(InForce(), m_refused)) {
+    return;
+  }
+  if (aPeer) {
+    const bool isFetching =
+      m_fetch && (m_fetch->m_peer ||
+                  aMoment.m_now - m_fetch->m_stepStarted < kPlatformHeadStart);
+    if (!isFetching) {
+      Start(aPeer, aMoment, aActions);
+    }
+  } else if (!m_fetch && aMoment.m_now >= m_noticeDue) {
+    m_noticeDue = aMoment.m_now + kNoticeGap;
+    Start(std::nullopt, aMoment, aActions);
+  }
+}
+
 void
 ConfigurationFlow::Advance(Moment aMoment, Actions& aActions)
 {
   if (aMoment.m_now < m_nextDue) {
     return;
   }
-  m_nextDue = aMoment.m_now + kInterval;
-  m_fetch.reset();
-  Ask(ReadRequest{ HeadRow() }, aActions);
+  const Duration interval =
+    std::clamp<Duration>(kHeadIntervalPerNode * m_fleetSize,
+                         kLeastHeadInterval,
+                         kGreatestHeadInterval);
+  const double factor = kJitterLeast + kJitterSpan * m_random.Unit();
+  m_nextDue =
+    aMoment.m_now + Duration(static_cast<Duration::rep>(
+                      static_cast<double>(interval.count()) * factor));
+  if (m_fetch && aMoment.m_now - m_fetch->m_stepStarted < kStepLimit) {
+    return;
+  }
+  Start(std::nullopt, aMoment, aActions);
 }
 
 void
 ConfigurationFlow::Handle(const StoreAnswered& aEvent,
-                          Moment /*aMoment*/,
+                          Moment aMoment,
                           Actions& aActions)
 {
-  if (aEvent.m_call.m_sequence != m_sequence) {
+  if (aEvent.m_call.m_sequence != m_sequence || !m_fetch || m_fetch->m_peer) {
     return;
   }
-  if (const auto* row = std::get_if<RowFound>(&aEvent.m_answer)) {
-    TakeHead(*row, aActions);
-  } else if (const auto* object = std::get_if<ObjectFound>(&aEvent.m_answer)) {
-    TakeObject(*object, aActions);
+  if (const auto* row = std::get_if<RowFound>(&aEvent.m_answer);
+      row != nullptr && row->m_row) {
+    Take(row->m_row->m_value, aMoment, aActions);
+  } else if (const auto* object = std::get_if<ObjectFound>(&aEvent.m_answer);
+             object != nullptr && object->m_content) {
+    Take(*object->m_content, aMoment, aActions);
+  } else {
+    Fail(aMoment, aActions);
   }
 }
 
 void
-ConfigurationFlow::TakeHead(const RowFound& aAnswer, Actions& aActions)
+ConfigurationFlow::Handle(const ObjectAnswered& aEvent,
+                          Moment aMoment,
+                          Actions& aActions)
 {
-  if (!aAnswer.m_row) {
+  if (aEvent.m_id != m_sequence || !m_fetch || !m_fetch->m_peer) {
     return;
   }
-  const auto head = DecodeHead(aAnswer.m_row->m_value);
-  if (!head ||
-      head->m_generation <= m_shared.m_configuration.Current()->m_generation) {
-    return;
+  if (aEvent.m_content) {
+    Take(*aEvent.m_content, aMoment, aActions);
+  } else {
+    Fail(aMoment, aActions);
   }
-  m_fetch = Fetch{ *head, std::nullopt, head->m_manifest };
-  Ask(GetObjectRequest{ head->m_manifest }, aActions);
 }
 
 void
-ConfigurationFlow::TakeObject(const ObjectFound& aAnswer, Actions& aActions)
+ConfigurationFlow::Handle(const ObjectAsked& aEvent,
+                          Moment /*aMoment*/,
+                          Actions& aActions)
 {
-  if (!m_fetch || !aAnswer.m_content ||
-      ObjectName(*aAnswer.m_content) != m_fetch->m_object) {
+  AnswerObject answer{ aEvent.m_call, std::nullopt };
+  const auto object = m_objects.find(aEvent.m_name);
+  if (aEvent.m_name == kHeadObject && !m_headText.empty()) {
+    answer.m_content = m_headText;
+  } else if (aEvent.m_name == m_manifestName && !m_manifestName.empty()) {
+    answer.m_content = m_manifestText;
+  } else if (object != m_objects.end()) {
+    answer.m_content = object->second;
+  }
+  aActions.emplace_back(std::move(answer));
+}
+
+//==============================================================================
+void
+ConfigurationFlow::Start(std::optional<Endpoint> aPeer,
+                         Moment aMoment,
+                         Actions& aActions)
+{
+  m_fetch.emplace();
+  m_fetch->m_peer = std::move(aPeer);
+  Ask(std::string(kHeadObject), aMoment, aActions);
+}
+
+void
+ConfigurationFlow::Ask(std::string aObject, Moment aMoment, Actions& aActions)
+{
+  m_fetch->m_object = std::move(aObject);
+  m_fetch->m_stepStarted = aMoment.m_now;
+  ++m_sequence;
+  if (m_fetch->m_peer) {
+    aActions.emplace_back(
+      AskObject{ m_sequence, *m_fetch->m_peer, m_fetch->m_object });
     return;
   }
-  if (!m_fetch->m_manifest) {
-    const auto manifest = DecodeManifest(*aAnswer.m_content);
-    if (!manifest) {
-      return;
-    }
-    m_fetch->m_manifest = *manifest;
+  StoreRequest request = GetObjectRequest{ m_fetch->m_object };
+  if (!m_fetch->m_head) {
+    request = ReadRequest{ HeadRow() };
+  }
+  aActions.emplace_back(CallStore{ { StoreClient::Configuration, m_sequence },
+                                   std::move(request) });
+}
+
+void
+ConfigurationFlow::Take(const std::string& aContent,
+                        Moment aMoment,
+                        Actions& aActions)
+{
+  if (!m_fetch->m_head) {
+    TakeHead(aContent, aMoment, aActions);
+  } else if (ObjectName(aContent) != m_fetch->m_object) {
+    Fail(aMoment, aActions);
+  } else if (!m_fetch->m_manifest) {
+    TakeManifest(aContent, aMoment, aActions);
   } else {
-    m_objects[m_fetch->m_object] = *aAnswer.m_content;
+    m_objects[m_fetch->m_object] = aContent;
+    FetchNext(aMoment, aActions);
   }
-  FetchNext(aActions);
 }
 
 void
-ConfigurationFlow::FetchNext(Actions& aActions)
+ConfigurationFlow::TakeHead(const std::string& aContent,
+                            Moment aMoment,
+                            Actions& aActions)
+{
+  const auto head = DecodeHead(aContent);
+  if (!head || head->m_generation <= std::max(InForce(), m_refused)) {
+    m_fetch.reset();
+    return;
+  }
+  m_fetch->m_head = *head;
+  Ask(head->m_manifest, aMoment, aActions);
+}
+
+void
+ConfigurationFlow::TakeManifest(const std::string& aContent,
+                                Moment aMoment,
+                                Actions& aActions)
+{
+  const auto manifest = DecodeManifest(aContent);
+  if (!manifest || manifest->m_objects.size() > kObjectLimit) {
+    Fail(aMoment, aActions);
+    return;
+  }
+  m_fetch->m_manifestText = aContent;
+  m_fetch->m_manifest = *manifest;
+  FetchNext(aMoment, aActions);
+}
+
+void
+ConfigurationFlow::FetchNext(Moment aMoment, Actions& aActions)
 {
   for (const auto& [service, object] : m_fetch->m_manifest->m_objects) {
     if (!m_objects.contains(object)) {
-      m_fetch->m_object = object;
-      Ask(GetObjectRequest{ object }, aActions);
+      Ask(object, aMoment, aActions);
       return;
     }
   }
   Adopt(aActions);
 }
 
+/* A peer that fails is followed by the platform, and that by the next rumour or
+   the next read of the head. */
+void
+ConfigurationFlow::Fail(Moment aMoment, Actions& aActions)
+{
+  const bool wasPeer = m_fetch->m_peer.has_value();
+  m_fetch.reset();
+  if (wasPeer) {
+    Start(std::nullopt, aMoment, aActions);
+  }
+}
+
 void
 ConfigurationFlow::Adopt(Actions& aActions)
 {
+  const Fetch fetch = std::move(*m_fetch);
+  m_fetch.reset();
   Findings findings;
   std::vector<ServiceDescription> services;
   std::map<std::string, std::string> kept;
-  for (const auto& [service, object] : m_fetch->m_manifest->m_objects) {
-    services.push_back(
-      ParseServiceFile(service, m_objects.at(object), findings));
-    kept[object] = m_objects.at(object);
+  for (const auto& [service, object] : fetch.m_manifest->m_objects) {
+    const std::string& text = m_objects.at(object);
+    services.push_back(ParseServiceFile(service, text, findings));
+    kept[object] = text;
   }
-  const Generation generation = m_fetch->m_head.m_generation;
+  const Generation generation = fetch.m_head->m_generation;
   auto configuration = std::make_shared<Configuration>(
     BuildConfiguration(generation, services, findings));
-  m_fetch.reset();
-  m_objects = std::move(kept);
   if (!findings.empty()) {
+    m_refused = generation;
     aActions.emplace_back(
       WriteLog{ "configuration",
                 fmt::format("generation {} is at fault and is not adopted: {}",
@@ -113,16 +246,19 @@
     return;
   }
   if (m_shared.m_configuration.Adopt(std::move(configuration))) {
+    m_objects = std::move(kept);
+    m_headText = EncodeHead(*fetch.m_head);
+    m_manifestName = fetch.m_head->m_manifest;
+    m_manifestText = fetch.m_manifestText;
     aActions.emplace_back(WriteLog{
       "configuration", fmt::format("generation {} is in force", generation) });
   }
 }
 
-void
-ConfigurationFlow::Ask(StoreRequest aRequest, Actions& aActions)
+Generation
+ConfigurationFlow::InForce() const
 {
-  aActions.emplace_back(CallStore{ { StoreClient::Configuration, ++m_sequence },
-                                   std::move(aRequest) });
+  return m_shared.m_configuration.Current()->m_generation;
 }
 
 }
--- a/modules/cr_process/server/cr_NodeServer.cpp
+++ b/modules/cr_process/server/cr_NodeServer.cpp
@@ -123,6 +123,8 @@
   void Do(const AnswerWithdraw& aAction);
   void Do(const SendRumour& aAction);
   void Do(const AnswerRumour& aAction);
+  void Do(const AskObject& aAction);
+  void Do(const AnswerObject& aAction);
   void Do(const CallStore& aAction);
   void Do(const WriteLog& aAction);
 
@@ -321,7 +323,7 @@
     if (const auto* answer = std::get_if<Answer>(&action)) {
       result = EncodeAnswer(*answer);
     } else {
-      std::visit([this](const auto& aTyped) { Do(aTyped); }, action);
+      std::visit([this](const auto& aTyped) { this->Do(aTyped); }, action);
     }
   }
   ArmTimer();
@@ -344,6 +346,10 @@
     return AnswerRpc<AnswerRumour>(
       RumourArrived{ NextCallId(0), std::move(*rumour) });
   });
+  server.Bind("object", [this](const Json::Value& aParameters) {
+    return AnswerRpc<AnswerObject>(
+      ParseObjectAsked(aParameters, NextCallId(0)));
+  });
   aResponder.Send(MakeTextResponse(
     kHttpOk, server.Answer(aRequest.m_body), "application/json"));
 }
@@ -558,6 +564,38 @@
   /* Answered where the rumour arrived. @see HandleRpc */
 }
 
+void
+NodeServer::Implementation::Do(const AskObject& aAction)
+{
+  m_client.Send(
+    aAction.m_peer,
+    { "POST",
+      std::string(kRpcPath),
+      { { "Content-Type", "application/json" } },
+      EncodeRpcCall("object", EncodeObjectAsked(aAction.m_name)) },
+    kRumourTimeout,
+    [weak = weak_from_this(), id = aAction.m_id](const HttpResult& aResult) {
+      const auto self = weak.lock();
+      if (!self) {
+        return;
+      }
+      ObjectAnswered answered{ id, std::nullopt };
+      if (const auto* response = std::get_if<HttpResponse>(&aResult)) {
+        const RpcReply reply = DecodeRpcReply(response->m_body);
+        if (reply.m_ok) {
+          answered.m_content = ParseObjectAnswer(reply.m_result);
+        }
+      }
+      self->Feed(answered);
+    });
+}
+
+void
+NodeServer::Implementation::Do(const AnswerObject& /*aAction*/)
+{
+  /* Answered where the object was asked for. @see HandleRpc */
+}
+
 void
 NodeServer::Implementation::Do(const CallStore& aAction)
 {
--- a/modules/cr_process/wire/cr_RumourWire.cpp
+++ b/modules/cr_process/wire/cr_RumourWire.cpp
@@ -4,61 +4,115 @@
 
 namespace {
 
-constexpr std::size_t kGreatestRows = 2000;
+constexpr std::size_t kGreatestRows = 4096;
 constexpr std::size_t kGreatestSuspects = 256;
+constexpr std::size_t kGreatestName = 64;
+
+/* Members are left out when they are empty; keys are one letter, since rumours
+   are most of the control traffic. */
+constexpr const char* kSender = "s";
+constexpr const char* kRows = "r";
+constexpr const char* kGeneration = "g";
+constexpr const char* kSuspects = "x";
+constexpr const char* kDigest = "d";
+constexpr const char* kBuckets = "b";
+constexpr const char* kWanted = "w";
+constexpr const char* kWantsAll = "a";
 
 Json::Value
 Encode(const Suspect& aSuspect)
 {
-  Json::Value value(Json::objectValue);
-  value["request"] = ToText(aSuspect.m_request);
-  value["deaths"] = aSuspect.m_deaths;
-  value["remaining_ms"] = Json::Int64(ToMilliseconds(aSuspect.m_remaining));
+  Json::Value value(Json::arrayValue);
+  value.append(ToText(aSuspect.m_request));
+  value.append(aSuspect.m_deaths);
+  value.append(Json::Int64(ToMilliseconds(aSuspect.m_remaining)));
   return value;
 }
 
 Expected<Suspect>
 DecodeSuspect(const Json::Value& aValue)
 {
-  const auto request =
-    ParseIdentifier<RequestTag>(aValue["request"].asString());
+  const auto request = ParseIdentifier<RequestTag>(aValue[0U].asString());
   if (!request) {
     return Failure(ErrorCode::Malformed, "a suspect's request is malformed");
   }
   return Suspect{ *request,
-                  aValue["deaths"].asUInt(),
-                  Milliseconds(aValue["remaining_ms"].asInt64()) };
+                  aValue[1U].asUInt(),
+                  Milliseconds(aValue[2U].asInt64()) };
 }
 
-Expected<Rumour>
-DecodeRumourValue(const Json::Value& aValue)
+Json::Value
+EncodeNumbers(const std::vector<std::uint32_t>& aNumbers)
 {
-  if (aValue["rows"].size() > kGreatestRows ||
-      aValue["suspects"].size() > kGreatestSuspects) {
-    return Failure(ErrorCode::LimitReached, "the rumour is too long");
+  Json::Value list(Json::arrayValue);
+  for (const std::uint32_t number : aNumbers) {
+    list.append(number);
   }
-  const auto sender = DecodeNodeRow(aValue["sender"].asString());
+  return list;
+}
+
+Expected<std::vector<std::uint32_t>>
+DecodeNumbers(const Json::Value& aList, std::uint32_t aGreatest)
+{
+  std::vector<std::uint32_t> numbers;
+  if (aList.size() > kBucketCount) {
+    return Failure(ErrorCode::LimitReached, "the rumour has too many buckets");
+  }
+  for (const Json::Value& value : aList) {
+    numbers.push_back(value.asUInt());
+    if (numbers.back() > aGreatest) {
+      return Failure(ErrorCode::Malformed, "no such bucket");
+    }
+  }
+  return numbers;
+}
+
+Expected<void>
+DecodeRows(const Json::Value& aValue, Rumour& aRumour)
+{
+  const auto sender = ParseNodeRow(aValue[kSender]);
   if (!sender) {
     return tl::unexpected(sender.error());
   }
-  Rumour rumour;
-  rumour.m_sender = *sender;
-  for (const Json::Value& row : aValue["rows"]) {
-    const auto decoded = DecodeNodeRow(row.asString());
+  aRumour.m_sender = *sender;
+  for (const Json::Value& row : aValue[kRows]) {
+    const auto decoded = ParseNodeRow(row);
     if (!decoded) {
       return tl::unexpected(decoded.error());
     }
-    rumour.m_rows.push_back(*decoded);
+    aRumour.m_rows.push_back(*decoded);
   }
-  for (const Json::Value& suspect : aValue["suspects"]) {
+  return {};
+}
+
+Expected<Rumour>
+DecodeRumourValue(const Json::Value& aValue)
+{
+  if (aValue[kRows].size() > kGreatestRows ||
+      aValue[kSuspects].size() > kGreatestSuspects) {
+    return Failure(ErrorCode::LimitReached, "the rumour is too long");
+  }
+  Rumour rumour;
+  if (const auto rows = DecodeRows(aValue, rumour); !rows) {
+    return tl::unexpected(rows.error());
+  }
+  for (const Json::Value& suspect : aValue[kSuspects]) {
     const auto decoded = DecodeSuspect(suspect);
     if (!decoded) {
       return tl::unexpected(decoded.error());
     }
     rumour.m_suspects.push_back(*decoded);
   }
-  rumour.m_generation = aValue["generation"].asUInt64();
-  rumour.m_wantsAll = aValue["wants_all"].asBool();
+  const auto buckets = DecodeNumbers(aValue[kBuckets], UINT32_MAX);
+  const auto wanted = DecodeNumbers(aValue[kWanted], kBucketCount - 1);
+  if (!buckets || !wanted) {
+    return tl::unexpected(buckets ? wanted.error() : buckets.error());
+  }
+  rumour.m_buckets = *buckets;
+  rumour.m_wanted = *wanted;
+  rumour.m_generation = aValue[kGeneration].asUInt64();
+  rumour.m_digest = aValue[kDigest].asUInt();
+  rumour.m_wantsAll = aValue[kWantsAll].asBool();
   return rumour;
 }
 
@@ -68,23 +122,33 @@
 EncodeRumour(const Rumour& aRumour)
 {
   Json::Value value(Json::objectValue);
-  value["sender"] = EncodeNodeRow(aRumour.m_sender);
-  value["rows"] = Json::Value(Json::arrayValue);
+  value[kSender] = ToJson(aRumour.m_sender);
+  value[kGeneration] = Json::UInt64(aRumour.m_generation);
+  value[kDigest] = aRumour.m_digest;
   for (const NodeRow& row : aRumour.m_rows) {
-    value["rows"].append(EncodeNodeRow(row));
+    value[kRows].append(ToJson(row));
   }
-  value["suspects"] = Json::Value(Json::arrayValue);
   for (const Suspect& suspect : aRumour.m_suspects) {
-    value["suspects"].append(Encode(suspect));
+    value[kSuspects].append(Encode(suspect));
+  }
+  if (!aRumour.m_buckets.empty()) {
+    value[kBuckets] = EncodeNumbers(aRumour.m_buckets);
+  }
+  if (!aRumour.m_wanted.empty()) {
+    value[kWanted] = EncodeNumbers(aRumour.m_wanted);
+  }
+  if (aRumour.m_wantsAll) {
+    value[kWantsAll] = true;
   }
-  value["generation"] = Json::UInt64(aRumour.m_generation);
-  value["wants_all"] = aRumour.m_wantsAll;
   return value;
 }
 
 Expected<Rumour>
 DecodeRumour(const Json::Value& aValue)
 {
+  if (!aValue.isObject()) {
+    return Failure(ErrorCode::Malformed, "a rumour is an object");
+  }
   try {
     return DecodeRumourValue(aValue);
   } catch (const Json::Exception& exception) {
@@ -92,6 +156,43 @@
   }
 }
 
+Json::Value
+EncodeObjectAsked(const std::string& aName)
+{
+  Json::Value value(Json::objectValue);
+  value["name"] = aName;
+  return value;
+}
+
+ObjectAsked
+ParseObjectAsked(const Json::Value& aParameters, CallId aCall)
+{
+  std::string name = aParameters["name"].asString();
+  if (name.empty() || name.size() > kGreatestName) {
+    throw Json::RuntimeError("the object's name is malformed");
+  }
+  return { aCall, std::move(name) };
+}
+
+std::optional<std::string>
+ParseObjectAnswer(const Json::Value& aResult)
+{
+  if (!aResult.isObject() || !aResult["content"].isString()) {
+    return std::nullopt;
+  }
+  return aResult["content"].asString();
+}
+
+Json::Value
+EncodeAnswer(const AnswerObject& aAnswer)
+{
+  Json::Value result(Json::objectValue);
+  if (aAnswer.m_content) {
+    result["content"] = *aAnswer.m_content;
+  }
+  return result;
+}
+
 Json::Value
 EncodeAnswer(const AnswerRumour& aAnswer)
 {
--- a/modules/cr_process/wire/cr_RumourWire.h
+++ b/modules/cr_process/wire/cr_RumourWire.h
@@ -19,6 +19,24 @@
 Json::Value
 EncodeAnswer(const AnswerRumour& aAnswer);
 
+/** Writes the parameters of a call that asks for an object. Thread safe. */
+Json::Value
+EncodeObjectAsked(const std::string& aName);
+
+/** Reads the parameters of a call that asks for an object. Throws
+    Json::Exception when they are malformed. Thread safe. */
+ObjectAsked
+ParseObjectAsked(const Json::Value& aParameters, CallId aCall);
+
+/** Reads the answer of a call that asks for an object; nothing when the other
+    node does not have it or the answer is malformed. Thread safe. */
+std::optional<std::string>
+ParseObjectAnswer(const Json::Value& aResult);
+
+/** Writes the answer of a call that asks for an object. Thread safe. */
+Json::Value
+EncodeAnswer(const AnswerObject& aAnswer);
+
 /** Writes the answer of a withdrawal. Thread safe. */
 Json::Value
 EncodeAnswer(const AnswerWithdraw& aAnswer);
--- a/stand_ins/mesh_stand_in/mesh/cr_TestMesh.cpp
+++ b/stand_ins/mesh_stand_in/mesh/cr_TestMesh.cpp
@@ -67,6 +67,7 @@
   std::map<CallId, std::shared_ptr<Job>> m_jobs;
   std::map<CallId, std::function<void(WithdrawResult)>> m_withdrawals;
   std::map<CallId, std::function<void(const Rumour&)>> m_rumourAnswers;
+  std::map<CallId, std::function<void(const AnswerObject&)>> m_objectAnswers;
   std::vector<Event> m_waiting;
   Instant m_timerAt = Instant::max();
 };
@@ -587,6 +588,45 @@
   answer(aAction.m_rumour);
 }
 
+void
+TestMesh::Do(Host& aHost, const AskObject& aAction)
+{
+  const HostName from = aHost.m_plan.m_host;
+  const HostName to = HostOf(aAction.m_peer).m_plan.m_host;
+  const auto settled = std::make_shared<bool>(false);
+  const auto answer = [this, from, settled, id = aAction.m_id](
+                        const std::optional<std::string>& aContent) {
+    if (!std::exchange(*settled, true)) {
+      Feed(from, ObjectAnswered{ id, aContent });
+    }
+  };
+  After(kRumourTimeout, [answer] { answer(std::nullopt); });
+  if (IsCut(from, to)) {
+    return;
+  }
+  After(m_faults.m_linkDelay, [this, answer, to, name = aAction.m_name] {
+    const CallId id = MakeCallId(++m_sequence, 0);
+    m_hosts.at(to)->m_objectAnswers[id] =
+      [this, answer](const AnswerObject& aAnswer) {
+        After(m_faults.m_linkDelay,
+              [answer, content = aAnswer.m_content] { answer(content); });
+      };
+    Feed(to, ObjectAsked{ id, name });
+  });
+}
+
+void
+TestMesh::Do(Host& aHost, const AnswerObject& aAction)
+{
+  const auto found = aHost.m_objectAnswers.find(aAction.m_call);
+  if (found == aHost.m_objectAnswers.end()) {
+    return;
+  }
+  const auto answer = found->second;
+  aHost.m_objectAnswers.erase(found);
+  answer(aAction);
+}
+
 void
 TestMesh::Do(Host& /*aHost*/, const WriteLog& /*aAction*/)
 {
--- a/stand_ins/mesh_stand_in/mesh/cr_TestMesh.h
+++ b/stand_ins/mesh_stand_in/mesh/cr_TestMesh.h
@@ -165,6 +165,8 @@
   void Do(Host& aHost, const CallStore& aAction);
   void Do(Host& aHost, const SendRumour& aAction);
   void Do(Host& aHost, const AnswerRumour& aAction);
+  void Do(Host& aHost, const AskObject& aAction);
+  void Do(Host& aHost, const AnswerObject& aAction);
   void Do(Host& aHost, const WriteLog& aAction);
 
   Random m_random;
