--- a/modules/cr_membership/view/cr_MembershipView.cpp
+++ b/modules/cr_membership/view/cr_MembershipView.cpp
@@ -12,7 +12,7 @@
 constexpr Duration kLease = Seconds(50);
 constexpr Duration kRemoveAfter = Seconds(3600);
 constexpr std::size_t kRowLimit = 4096;
-constexpr unsigned kTellingsPerDoubling = 3;
+constexpr unsigned kTellingsPerDoubling = 2;
 
 std::size_t
 BucketOf(const HostName& aHost)
--- a/modules/cr_node/decisions/cr_NodeDecisions.cpp
+++ b/modules/cr_node/decisions/cr_NodeDecisions.cpp
@@ -91,6 +91,16 @@
   return status;
 }
 
+std::optional<NodeRow>
+NodeDecisions::FindNode(const HostName& aHost) const
+{
+  return m_directory.With(
+    [&](const DirectoryFlow& aFlow) -> std::optional<NodeRow> {
+      const NodeRow* row = aFlow.View().Find(aHost);
+      return row == nullptr ? std::nullopt : std::optional<NodeRow>(*row);
+    });
+}
+
 void
 NodeDecisions::Do(const CustomerCall& aEvent, Moment aMoment, Actions& aActions)
 {
--- a/modules/cr_node/decisions/cr_NodeDecisions.h
+++ b/modules/cr_node/decisions/cr_NodeDecisions.h
@@ -49,6 +49,15 @@
   /** Returns a report for operators. */
   NodeStatus Status() const;
 
+  /** Returns the generation in force; 0 when there is none. */
+  Generation InForce() const
+  {
+    return m_shared.m_configuration.Current()->m_generation;
+  }
+
+  /** Returns the row known of a host; nothing when unknown or lapsed. */
+  std::optional<NodeRow> FindNode(const HostName& aHost) const;
+
   /** Returns who the node is. */
   const NodeIdentity& Identity() const { return m_shared.m_identity; }
 
--- a/modules/cr_node/flow/cr_ConfigurationFlow.cpp
+++ b/modules/cr_node/flow/cr_ConfigurationFlow.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr Duration kHeadIntervalPerNode = Milliseconds(10);
-constexpr Duration kLeastHeadInterval = Seconds(1);
+constexpr Duration kLeastHeadInterval = Seconds(2);
 constexpr Duration kGreatestHeadInterval = Seconds(10);
 constexpr Duration kStepLimit = Seconds(3);
 constexpr Duration kPlatformHeadStart = Milliseconds(100);
--- a/modules/cr_node/flow/cr_DirectoryFlow.cpp
+++ b/modules/cr_node/flow/cr_DirectoryFlow.cpp
@@ -15,13 +15,15 @@
 constexpr Duration kQuickScanGap = Seconds(1);
 constexpr Duration kRumourInterval = Seconds(2);
 constexpr Duration kPushDelay = Milliseconds(150);
+constexpr Duration kRoutesGap = Milliseconds(200);
 constexpr Duration kAskAllGap = Seconds(1);
 constexpr Duration kRepairInterval = Seconds(5);
 constexpr Duration kBucketsInterval = Seconds(1);
-constexpr Duration kQuietBeforeRepair = Seconds(3);
+constexpr Duration kQuietBeforeRepair = Seconds(2);
 constexpr std::uint32_t kPageLimit = 100;
 constexpr unsigned kQuickScanCount = 2;
 constexpr std::size_t kPushPeers = 3;
+constexpr unsigned kGenerationTellings = 6;
 constexpr std::size_t kNewsLimit = 20;
 constexpr std::size_t kSuspectLimit = 16;
 constexpr std::size_t kRepairBuckets = 4;
@@ -74,7 +76,7 @@
     m_renewDue =
       std::min(m_renewDue, std::max(aMoment.m_now, m_lastWrite + kWriteGap));
     m_pushDue = aMoment.m_now;
-    UpdateRouters(aMoment);
+    ScheduleRoutes(aMoment);
   }
 }
 
@@ -85,7 +87,7 @@
     m_shared.m_configuration.Current()->m_generation;
   if (generation > m_toldGeneration) {
     m_toldGeneration = generation;
-    m_generationTellings = m_view.Tellings();
+    m_generationTellings = kGenerationTellings;
     m_pushDue = aMoment.m_now;
   }
   const std::uint64_t suspects =
@@ -102,6 +104,9 @@
 void
 DirectoryFlow::Advance(Moment aMoment, Actions& aActions)
 {
+  if (aMoment.m_now >= m_routesDue) {
+    UpdateRouters(aMoment);
+  }
   if (aMoment.m_now >= m_renewDue) {
     WriteOwnRow(aMoment, aActions);
   }
@@ -182,7 +187,8 @@
 Instant
 DirectoryFlow::NextDue() const
 {
-  const Instant due = std::min({ m_renewDue, m_rumourDue, m_pushDue });
+  const Instant due =
+    std::min({ m_renewDue, m_rumourDue, m_pushDue, m_routesDue });
   return m_isReading ? due : std::min(due, m_scanDue);
 }
 
@@ -241,7 +247,7 @@
   } else {
     m_scanDue = aMoment.m_now + Jitter(kScanInterval);
   }
-  UpdateRouters(aMoment);
+  ScheduleRoutes(aMoment);
   SchedulePush(aMoment);
 }
 
@@ -255,17 +261,22 @@
 }
 
 //==============================================================================
+/* A starting node does not tell on what it learns: everything is news to it. */
 void
 DirectoryFlow::TakeRumour(const Rumour& aRumour,
                           RowSource aSource,
                           Moment aMoment)
 {
+  const RowSource source = m_quickScans > 0 ? RowSource::Copy : aSource;
   for (const NodeRow& row : aRumour.m_rows) {
-    m_view.Learn(row, aSource, aMoment.m_now);
+    m_view.Learn(row, source, aMoment.m_now);
   }
   m_view.Hear(aRumour.m_sender, aMoment.m_now);
+  if (aRumour.m_generation >= m_toldGeneration && m_generationTellings > 0) {
+    --m_generationTellings;
+  }
   TellChanges(aMoment);
-  UpdateRouters(aMoment);
+  ScheduleRoutes(aMoment);
   SchedulePush(aMoment);
 }
 
@@ -400,12 +411,20 @@
   return m_view.HasNews() || m_generationTellings > 0 || m_suspectTellings > 0;
 }
 
+/* The first change goes to the routers at once, a burst of them together. */
 void
-DirectoryFlow::UpdateRouters(Moment aMoment)
+DirectoryFlow::ScheduleRoutes(Moment aMoment)
 {
-  if (!m_view.TakeRoutesChanged()) {
-    return;
+  if (m_view.TakeRoutesChanged() && m_routesDue == Instant::max()) {
+    m_routesDue = std::max(aMoment.m_now, m_routesUpdated + kRoutesGap);
   }
+}
+
+void
+DirectoryFlow::UpdateRouters(Moment aMoment)
+{
+  m_routesDue = Instant::max();
+  m_routesUpdated = aMoment.m_now;
   std::map<std::string, std::vector<RouteTarget>> targets;
   for (const NodeRow& row : m_view.All()) {
     if (row.m_state == ServerState::Ready) {
--- a/modules/cr_node/flow/cr_DirectoryFlow.h
+++ b/modules/cr_node/flow/cr_DirectoryFlow.h
@@ -72,6 +72,7 @@
   Rumour MakeRumour(std::vector<NodeRow> aRows, Moment aMoment) const;
   const NodeRow* RandomPeer();
   void SchedulePush(Moment aMoment);
+  void ScheduleRoutes(Moment aMoment);
   void UpdateRouters(Moment aMoment);
   bool HasChanges() const;
   Duration Jitter(Duration aMean);
@@ -95,6 +96,8 @@
 
   Instant m_rumourDue;
   Instant m_pushDue = Instant::max();
+  Instant m_routesDue = Instant::max();
+  Instant m_routesUpdated;
   Instant m_askAllDue;
   Instant m_repairDue;
   Instant m_bucketsDue;
