Route by in-flight work, latency, level and measured failures

Cause: the router knew only in-flight counts, built a vector for each choice and sent a fast-failing host more than its share; RouterTable::Update copied its map. Change: host health with ageing estimates, ejection with a floor, ramps, distance groups with spill, subsets by rendezvous hashing, LowestLevel for early refusal.

--- a/modules/cr_node/shared/cr_RouterTable.cpp
+++ b/modules/cr_node/shared/cr_RouterTable.cpp
@@ -16,20 +16,15 @@
   const std::map<std::string, std::vector<RouteTarget>>& aTargets,
   Instant aNow)
 {
-  std::map<std::string, RouterPointer, std::less<>> routers;
   for (const auto& [service, targets] : aTargets) {
-    FindOrAdd(service);
+    FindOrAdd(service)->With(
+      [&, &known = targets](Router& aRouter) { aRouter.Update(known, aNow); });
   }
-  {
-    const std::shared_lock lock(m_mutex);
-    routers = m_routers;
-  }
-  for (const auto& [service, router] : routers) {
-    const auto targets = aTargets.find(service);
-    const auto span = targets == aTargets.end()
-                        ? std::span<const RouteTarget>()
-                        : std::span<const RouteTarget>(targets->second);
-    router->With([&](Router& aRouter) { aRouter.Update(span, aNow); });
+  const std::shared_lock lock(m_mutex);
+  for (const auto& [service, router] : m_routers) {
+    if (!aTargets.contains(service)) {
+      router->With([&](Router& aRouter) { aRouter.Update({}, aNow); });
+    }
   }
 }
 
@@ -59,6 +54,17 @@
   }
 }
 
+std::optional<AdmissionLevel>
+RouterTable::LowestLevel(const std::string& aService, Instant aNow) const
+{
+  const RouterPointer router = Find(aService);
+  if (!router) {
+    return std::nullopt;
+  }
+  return router->With(
+    [&](const Router& aRouter) { return aRouter.LowestLevel(aNow); });
+}
+
 std::map<std::string, std::size_t>
 RouterTable::Sizes() const
 {
@@ -85,11 +91,11 @@
   const std::unique_lock lock(m_mutex);
   RouterPointer& router = m_routers[aService];
   if (!router) {
-    router =
-      std::make_shared<Guarded<Router>>(m_identity.m_region,
-                                        m_identity.m_dataCentre,
-                                        Hash(aService, m_identity.m_seed),
-                                        m_policy);
+    router = std::make_shared<Guarded<Router>>(
+      RoutePlace{
+        m_identity.m_host, m_identity.m_region, m_identity.m_dataCentre },
+      Hash(aService, m_identity.m_seed),
+      m_policy);
   }
   return router;
 }
--- a/modules/cr_node/shared/cr_RouterTable.h
+++ b/modules/cr_node/shared/cr_RouterTable.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <shared_mutex>
 #include <span>
 #include <string>
@@ -39,6 +40,12 @@
               Instant aNow);
 
   //==========================================================================
+  /** Returns the lowest admission level among the service's hosts; nothing when
+      it is unknown. A call of a lower rank would be refused by all of them.
+      @see Router::LowestLevel */
+  std::optional<AdmissionLevel> LowestLevel(const std::string& aService,
+                                            Instant aNow) const;
+
   /** Returns the number of hosts known for each service. */
   std::map<std::string, std::size_t> Sizes() const;
 
--- a/modules/cr_routing/router/cr_Router.cpp
+++ b/modules/cr_routing/router/cr_Router.cpp
@@ -4,69 +4,325 @@
 
 namespace cr {
 
-Router::Router(std::string aRegion,
-               std::string aDataCentre,
+namespace {
+
+constexpr int kDraws = 6;
+constexpr double kFailureFactor = 8;
+constexpr double kRefusalFactor = 4;
+/* How much slower a near host may be before a farther one is taken. */
+constexpr Duration::rep kSpillRatio = 2;
+constexpr Duration kSpillSlack = Milliseconds(2);
+constexpr double kUsualLatencyFall = 0.1;
+constexpr double kUsualLatencyRise = 0.002;
+/* An outlier fails this much more often than the other hosts do. */
+constexpr double kOutlierRatio = 2;
+
+/* The latency up to which a near host is kept, given that of a farther one. */
+Duration
+SlowestInHealth(Duration aLatency)
+{
+  return aLatency * kSpillRatio + kSpillSlack;
+}
+
+}
+
+Router::Router(RoutePlace aPlace,
                std::uint64_t aSeed,
                const PolicySwitches& aPolicy)
-  : m_region(std::move(aRegion))
-  , m_dataCentre(std::move(aDataCentre))
+  : m_place(std::move(aPlace))
   , m_random(aSeed)
   , m_policy(aPolicy)
 {
 }
 
 void
-Router::Update(std::span<const RouteTarget> aTargets, Instant /*aNow*/)
+Router::Update(std::span<const RouteTarget> aTargets, Instant aNow)
 {
+  const bool isFirst = m_entries.empty();
   std::vector<Entry> entries;
-  for (const RouteTarget& target : aTargets) {
-    const auto known = std::find_if(
-      m_entries.begin(), m_entries.end(), [&](const Entry& aEntry) {
-        return aEntry.m_target.m_host == target.m_host &&
-               aEntry.m_target.m_incarnation == target.m_incarnation;
-      });
-    entries.push_back(
-      { target, known == m_entries.end() ? 0 : known->m_inFlight });
+  for (RouteTarget& target : ChooseSubset(aTargets, m_place)) {
+    const auto known = m_index.find(target.m_host);
+    if (known != m_index.end() &&
+        m_entries.at(known->second).m_target.m_incarnation ==
+          target.m_incarnation) {
+      entries.push_back(std::move(m_entries.at(known->second)));
+      entries.back().m_target = std::move(target);
+      continue;
+    }
+    Entry& entry = entries.emplace_back();
+    entry.m_target = std::move(target);
+    if (!isFirst) {
+      entry.m_health.StartRamp(aNow);
+    }
   }
   m_entries = std::move(entries);
+  Index();
 }
 
 std::optional<RouteTarget>
-Router::Choose(Rank /*aRank*/,
-               std::span<const HostName> aExcluded,
-               Instant /*aNow*/)
+Router::Choose(Rank aRank, std::span<const HostName> aExcluded, Instant aNow)
+{
+  Entry* chosen = ChooseAnywhere({ aRank, aExcluded, aNow });
+  if (chosen == nullptr) {
+    return std::nullopt;
+  }
+  ++chosen->m_inFlight;
+  return chosen->m_target;
+}
+
+void
+Router::Report(const HostName& aHost,
+               const AttemptResult& aResult,
+               Instant aNow)
+{
+  const auto found = m_index.find(aHost);
+  if (found == m_index.end()) {
+    return;
+  }
+  Entry& entry = m_entries.at(found->second);
+  if (entry.m_inFlight > 0) {
+    --entry.m_inFlight;
+  }
+  entry.m_health.Report(aResult, UsualLatency(), aNow);
+  if (aResult.m_answered) {
+    LearnUsualLatency(aResult.m_latency);
+  }
+  if (m_policy.m_ejection && entry.m_health.IsFailing(aNow)) {
+    EjectIfOutlier(entry, aNow);
+  }
+}
+
+std::size_t
+Router::Ejected(Instant aNow) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_entries.begin(), m_entries.end(), [&](const Entry& aEntry) {
+      return aEntry.m_health.IsEjected(aNow);
+    }));
+}
+
+std::optional<AdmissionLevel>
+Router::LowestLevel(Instant aNow) const
+{
+  std::optional<AdmissionLevel> lowest;
+  for (const Entry& entry : m_entries) {
+    if (entry.m_health.IsEjected(aNow)) {
+      continue;
+    }
+    const auto level = entry.m_health.Level(aNow);
+    if (!level) {
+      return std::nullopt;
+    }
+    lowest = std::min(lowest.value_or(*level), *level);
+  }
+  return lowest;
+}
+
+//==============================================================================
+void
+Router::Index()
+{
+  m_groups = {};
+  m_index.clear();
+  for (std::size_t index = 0; index < m_entries.size(); ++index) {
+    const RouteTarget& target = m_entries.at(index).m_target;
+    m_index.emplace(target.m_host, index);
+    const std::size_t distance =
+      m_policy.m_ownDataCentreFirst
+        ? static_cast<std::size_t>(DistanceOf(target, m_place))
+        : 0;
+    Group& group = m_groups.at(distance);
+    if (group.m_size == 0) {
+      group.m_begin = index;
+    }
+    ++group.m_size;
+  }
+}
+
+Router::Entry*
+Router::ChooseAnywhere(const Request& aRequest)
+{
+  Entry* near = nullptr;
+  for (const Group& group : m_groups) {
+    Entry* candidate = ChooseInGroup(group, aRequest);
+    if (candidate == nullptr) {
+      continue;
+    }
+    if (near == nullptr || IsOverloaded(*near, *candidate, aRequest)) {
+      near = candidate;
+    }
+    if (!Refuses(*near, aRequest) &&
+        near->m_health.Latency(UsualLatency(), aRequest.m_now) <=
+          SlowestInHealth(UsualLatency())) {
+      return near;
+    }
+  }
+  return near != nullptr ? near : FindLeastEjected(aRequest);
+}
+
+Router::Entry*
+Router::ChooseInGroup(const Group& aGroup, const Request& aRequest)
+{
+  Entry* first = Draw(aGroup, aRequest);
+  if (first == nullptr || !m_policy.m_twoChoices) {
+    return first;
+  }
+  Entry* second = Draw(aGroup, aRequest);
+  return IsBetter(*second, *first, aRequest) ? second : first;
+}
+
+/* A host on its ramp is drawn with the probability of its ramp share. */
+Router::Entry*
+Router::Draw(const Group& aGroup, const Request& aRequest)
+{
+  Entry* last = nullptr;
+  for (int draw = 0; draw < kDraws && aGroup.m_size > 0; ++draw) {
+    Entry& entry = m_entries.at(aGroup.m_begin + m_random.Below(aGroup.m_size));
+    if (!IsUsable(entry, aRequest)) {
+      continue;
+    }
+    const double share = entry.m_health.RampShare(aRequest.m_now);
+    if (share >= 1 || m_random.Unit() < share) {
+      return &entry;
+    }
+    last = &entry;
+  }
+  return last != nullptr ? last : FindUsable(aGroup, aRequest);
+}
+
+Router::Entry*
+Router::FindUsable(const Group& aGroup, const Request& aRequest)
 {
-  std::vector<Entry*> allowed;
+  const std::size_t start =
+    aGroup.m_size > 0 ? m_random.Below(aGroup.m_size) : 0;
+  for (std::size_t step = 0; step < aGroup.m_size; ++step) {
+    Entry& entry =
+      m_entries.at(aGroup.m_begin + (start + step) % aGroup.m_size);
+    if (IsUsable(entry, aRequest)) {
+      return &entry;
+    }
+  }
+  return nullptr;
+}
+
+/* With every host excluded or left out, one that was left out is tried. */
+Router::Entry*
+Router::FindLeastEjected(const Request& aRequest)
+{
+  Entry* best = nullptr;
   for (Entry& entry : m_entries) {
-    if (std::find(aExcluded.begin(), aExcluded.end(), entry.m_target.m_host) ==
-        aExcluded.end()) {
-      allowed.push_back(&entry);
+    if (IsExcluded(entry, aRequest)) {
+      continue;
+    }
+    if (best == nullptr ||
+        Cost(entry, aRequest.m_now) < Cost(*best, aRequest.m_now)) {
+      best = &entry;
     }
   }
-  if (allowed.empty()) {
-    return std::nullopt;
+  return best;
+}
+
+bool
+Router::IsExcluded(const Entry& aEntry, const Request& aRequest) const
+{
+  const auto& excluded = aRequest.m_excluded;
+  return std::find(excluded.begin(), excluded.end(), aEntry.m_target.m_host) !=
+         excluded.end();
+}
+
+bool
+Router::IsUsable(const Entry& aEntry, const Request& aRequest) const
+{
+  return !aEntry.m_health.IsEjected(aRequest.m_now) &&
+         !IsExcluded(aEntry, aRequest);
+}
+
+bool
+Router::Refuses(const Entry& aEntry, const Request& aRequest) const
+{
+  return m_policy.m_levelFeedback &&
+         aEntry.m_health.Level(aRequest.m_now).value_or(0) > aRequest.m_rank;
+}
+
+bool
+Router::IsBetter(const Entry& aFirst,
+                 const Entry& aSecond,
+                 const Request& aRequest) const
+{
+  const bool firstRefuses = Refuses(aFirst, aRequest);
+  const bool secondRefuses = Refuses(aSecond, aRequest);
+  if (firstRefuses != secondRefuses) {
+    return secondRefuses;
+  }
+  return Cost(aFirst, aRequest.m_now) < Cost(aSecond, aRequest.m_now);
+}
+
+bool
+Router::IsOverloaded(const Entry& aNear,
+                     const Entry& aFar,
+                     const Request& aRequest) const
+{
+  const bool farRefuses = Refuses(aFar, aRequest);
+  if (Refuses(aNear, aRequest) || farRefuses) {
+    return !farRefuses;
   }
-  Entry* first = allowed[m_random.Below(allowed.size())];
-  Entry* second = allowed[m_random.Below(allowed.size())];
-  const bool secondIsBetter =
-    m_policy.m_twoChoices && second->m_inFlight < first->m_inFlight;
-  Entry* best = secondIsBetter ? second : first;
-  ++best->m_inFlight;
-  return best->m_target;
+  const Duration near = aNear.m_health.Latency(UsualLatency(), aRequest.m_now);
+  const Duration far = aFar.m_health.Latency(UsualLatency(), aRequest.m_now);
+  return near > SlowestInHealth(far);
+}
+
+/* Failures and refusals come fast and would make a host look idle and quick;
+   so they raise its cost, and never lower its latency. */
+double
+Router::Cost(const Entry& aEntry, Instant aNow) const
+{
+  const auto latency =
+    static_cast<double>(aEntry.m_health.Latency(UsualLatency(), aNow).count()) +
+    1;
+  return (static_cast<double>(aEntry.m_inFlight) + 1) * latency *
+         (1 + kFailureFactor * aEntry.m_health.FailureShare(aNow) +
+          kRefusalFactor * aEntry.m_health.RefusalShare(aNow));
 }
 
+/* When all hosts fail alike, something below them fails; leaving some out would
+   only load the others. */
 void
-Router::Report(const HostName& aHost,
-               const AttemptResult& /*aResult*/,
-               Instant /*aNow*/)
+Router::EjectIfOutlier(Entry& aEntry, Instant aNow)
+{
+  const double allowed =
+    kGreatestEjectedShare * static_cast<double>(m_entries.size());
+  if (aEntry.m_health.IsEjected(aNow) ||
+      static_cast<double>(Ejected(aNow) + 1) > allowed) {
+    return;
+  }
+  double othersFailure = 0;
+  for (const Entry& entry : m_entries) {
+    othersFailure += &entry != &aEntry ? entry.m_health.FailureShare(aNow) : 0;
+  }
+  const double mean = othersFailure / static_cast<double>(m_entries.size() - 1);
+  if (aEntry.m_health.FailureShare(aNow) > kOutlierRatio * mean) {
+    aEntry.m_health.Eject(m_random.Unit(), aNow);
+  }
+}
+
+Duration
+Router::UsualLatency() const
+{
+  return Duration(static_cast<Duration::rep>(m_usualLatencyUs));
+}
+
+/* Falls quickly and rises slowly: the latency of the service in health. */
+void
+Router::LearnUsualLatency(Duration aLatency)
 {
-  const auto entry =
-    std::find_if(m_entries.begin(), m_entries.end(), [&](const Entry& aEntry) {
-      return aEntry.m_target.m_host == aHost;
-    });
-  if (entry != m_entries.end() && entry->m_inFlight > 0) {
-    --entry->m_inFlight;
+  const auto latency = static_cast<double>(aLatency.count());
+  if (m_usualLatencyUs == 0) {
+    m_usualLatencyUs = latency;
+    return;
   }
+  const double gain =
+    latency < m_usualLatencyUs ? kUsualLatencyFall : kUsualLatencyRise;
+  m_usualLatencyUs += gain * (latency - m_usualLatencyUs);
 }
 
 }
