Never block an I/O thread while watching for a caller's close

Cause: a wait for readability may end although the bytes were read before it began. The peek that followed blocked its I/O thread until the peer sent more or closed. Seen as OneNode.ServesCallsFromManyConnectionsAtOnce failing once in a full test run after 5,027 ms (20 runs, 19 answers). Change: sockets of the server do not block; a peek without bytes waits again.

--- a/modules/cr_transport/http/cr_HttpServer.cpp
+++ b/modules/cr_transport/http/cr_HttpServer.cpp
@@ -125,6 +125,7 @@
   {
     beast::error_code ignored;
     m_stream.socket().set_option(tcp::no_delay(true), ignored);
+    m_stream.socket().non_blocking(true, ignored);
     asio::dispatch(m_stream.get_executor(),
                    [self = shared_from_this()] { self->ReadFirstByte(); });
   }
@@ -223,6 +224,8 @@
       });
   }
 
+  /* A wait may end although nothing can be read: the event may be one of bytes
+     that were read before the wait began. */
   void CheckClosed(std::uint64_t aSequence, const beast::error_code& aError)
   {
     if (aSequence != m_sequence || !m_waiting) {
@@ -238,6 +241,10 @@
     if (size > 0) {
       return;
     }
+    if (peekError == asio::error::would_block) {
+      WaitForClose(aSequence);
+      return;
+    }
     if (auto gone = std::exchange(m_gone, nullptr)) {
       gone();
     }
