Ownership of keys: non-idempotent calls run at their owner only

Cause: a resend at another node, or after a lost answer, could run a call twice; nothing but the caller's restraint prevented it. Change: module cr_ownership (map, plan, holding, ledger), OwnershipFlow that keeps the maps through conditional transactions, joined into EntryFlow and GateFlow. Resends get the stored answer or wait for the run in progress.

--- a/modules/cr_core/identity/cr_Outcome.cpp
+++ b/modules/cr_core/identity/cr_Outcome.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 18> kReasonNames = {
+constexpr std::array<std::string_view, 20> kReasonNames = {
   "none",
   "malformed",
   "unknown-service",
@@ -22,7 +22,9 @@
   "owner-gone",
   "key-missing",
   "store-unavailable",
-  "server-failed"
+  "server-failed",
+  "key-too-early",
+  "key-reused"
 };
 
 }
--- a/modules/cr_core/identity/cr_Outcome.h
+++ b/modules/cr_core/identity/cr_Outcome.h
@@ -62,7 +62,11 @@
   OwnerGone,
   KeyMissing,
   StoreUnavailable,
-  ServerFailed
+  ServerFailed,
+  /** The idempotency key's birth time lies too far in the future. */
+  KeyTooEarly,
+  /** The idempotency key was used before with another payload. */
+  KeyReused
 };
 
 /** Returns the reason's name in headers and reports. Thread safe. */
--- a/modules/cr_node/decisions/cr_NodeDecisions.cpp
+++ b/modules/cr_node/decisions/cr_NodeDecisions.cpp
@@ -17,6 +17,7 @@
   , m_gate(m_shared)
   , m_directory(m_shared)
   , m_configurationFlow(m_shared)
+  , m_ownership(m_shared)
 {
   for (std::size_t shard = 0; shard < kShardCount; ++shard) {
     m_entries.at(shard) = std::make_unique<Guarded<EntryFlow>>(m_shared, shard);
@@ -63,6 +64,9 @@
                [](const DirectoryFlow& aFlow) { return aFlow.NextDue(); }),
              m_configurationFlow.With(
                [](const ConfigurationFlow& aFlow) { return aFlow.NextDue(); }));
+  due = std::min(due, m_ownership.With([](const OwnershipFlow& aFlow) {
+    return aFlow.NextDue();
+  }));
   const auto gateDue =
     m_gate.With([](const GateFlow& aFlow) { return aFlow.NextDue(); });
   return gateDue ? std::min(due, *gateDue) : due;
@@ -220,6 +224,7 @@
       TellChanges(aMoment, aActions);
       return;
     case StoreClient::Ownership:
+      DoOwnership(aEvent, aMoment, aActions);
       return;
   }
 }
@@ -229,6 +234,9 @@
 {
   FlowOutput output;
   m_gate.With([&](GateFlow& aFlow) { aFlow.Advance(aMoment, output); });
+  for (const auto& entry : m_entries) {
+    entry->With([&](EntryFlow& aFlow) { aFlow.Advance(aMoment, output); });
+  }
   Settle(std::move(output), aActions);
   ShareServerState(aMoment, aActions);
   const std::size_t nodes = m_directory.With(
@@ -237,6 +245,7 @@
     aFlow.SetFleetSize(nodes);
     aFlow.Advance(aMoment, aActions);
   });
+  AdvanceOwnership(aMoment, aActions);
 }
 
 void
@@ -248,6 +257,25 @@
   ShareServerState(aMoment, aActions);
 }
 
+void
+NodeDecisions::DoOwnership(const StoreAnswered& aEvent,
+                           Moment aMoment,
+                           Actions& aActions)
+{
+  const auto service = m_ownership.With([&](OwnershipFlow& aFlow) {
+    return aFlow.Handle(aEvent, aMoment, aActions);
+  });
+  if (!service) {
+    return;
+  }
+  for (const auto& entry : m_entries) {
+    FlowOutput output;
+    entry->With(
+      [&](EntryFlow& aFlow) { aFlow.Resume(*service, aMoment, output); });
+    Settle(std::move(output), aActions);
+  }
+}
+
 template<typename AttemptEvent>
 void
 NodeDecisions::DoAtEntry(const AttemptEvent& aEvent,
@@ -320,6 +348,35 @@
     aFlow.SetServer(server.m_service, server.m_state, aMoment);
     aFlow.Advance(aMoment, aActions);
   });
+  m_ownership.With([&](OwnershipFlow& aFlow) {
+    aFlow.SetServer(server.m_service, server.m_state, aMoment);
+  });
+}
+
+void
+NodeDecisions::AdvanceOwnership(Moment aMoment, Actions& aActions)
+{
+  const auto service = m_ownership.With([&](const OwnershipFlow& aFlow) {
+    return aFlow.NextDue() <= aMoment.m_now ? std::optional(aFlow.Service())
+                                            : std::nullopt;
+  });
+  if (!service) {
+    return;
+  }
+  std::vector<Owner> ready;
+  m_directory.With([&](const DirectoryFlow& aFlow) {
+    for (const HostName& host : aFlow.View().Hosts()) {
+      const NodeRow* row = aFlow.View().Find(host);
+      if (row != nullptr && row->m_service == *service &&
+          row->m_state == ServerState::Ready) {
+        ready.push_back({ row->m_host, row->m_incarnation, row->m_peer });
+      }
+    }
+  });
+  m_ownership.With([&](OwnershipFlow& aFlow) {
+    aFlow.SetReady(std::move(ready));
+    aFlow.Advance(aMoment, aActions);
+  });
 }
 
 }
--- a/modules/cr_node/decisions/cr_NodeDecisions.h
+++ b/modules/cr_node/decisions/cr_NodeDecisions.h
@@ -9,6 +9,7 @@
 #include "cr_node/flow/cr_DirectoryFlow.h"
 #include "cr_node/flow/cr_EntryFlow.h"
 #include "cr_node/flow/cr_GateFlow.h"
+#include "cr_node/flow/cr_OwnershipFlow.h"
 
 namespace cr {
 
@@ -74,6 +75,10 @@
   void Do(const TimerDue& aEvent, Moment aMoment, Actions& aActions);
   void Do(const ShutdownAsked& aEvent, Moment aMoment, Actions& aActions);
 
+  void DoOwnership(const StoreAnswered& aEvent,
+                   Moment aMoment,
+                   Actions& aActions);
+
   /* Events of forwarded calls go to the shard that their attempt names. */
   template<typename AttemptEvent>
   void DoAtEntry(const AttemptEvent& aEvent, Moment aMoment, Actions& aActions);
@@ -88,12 +93,14 @@
                         Actions& aActions);
   void TellChanges(Moment aMoment, Actions& aActions);
   void ShareServerState(Moment aMoment, Actions& aActions);
+  void AdvanceOwnership(Moment aMoment, Actions& aActions);
 
   NodeShared m_shared;
   std::array<std::unique_ptr<Guarded<EntryFlow>>, kShardCount> m_entries;
   Guarded<GateFlow> m_gate;
   Guarded<DirectoryFlow> m_directory;
   Guarded<ConfigurationFlow> m_configurationFlow;
+  Guarded<OwnershipFlow> m_ownership;
 };
 
 }
--- a/modules/cr_node/flow/cr_EntryFlow.cpp
+++ b/modules/cr_node/flow/cr_EntryFlow.cpp
@@ -1,6 +1,7 @@
 #include "cr_node/flow/cr_EntryFlow.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "cr_admission/cr_admission.h"
 
@@ -31,7 +32,11 @@
 Refuse(const CustomerCall& aCall, Reason aReason, FlowOutput& aOutput)
 {
   CallReport report;
-  report.m_outcome = Outcome::NotRun;
+  // A call with this key may have run before, so a suspect's outcome is
+  // unknown.
+  report.m_outcome = aCall.m_key && aReason == Reason::Suspect
+                       ? Outcome::Unknown
+                       : Outcome::NotRun;
   report.m_reason = aReason;
   aOutput.m_actions.emplace_back(
     AnswerCall{ aCall.m_call, aCall.m_request, report, nullptr });
@@ -70,8 +75,8 @@
   call.m_header.m_request = aCall.m_request;
   call.m_header.m_operation = aCall.m_operation;
   call.m_header.m_importance = operation->m_importance;
-  call.m_header.m_key = aCall.m_key;
   call.m_idempotent = operation->m_idempotent;
+  SetKey(call, aCall.m_key);
   call.m_payload = aCall.m_payload;
   call.m_deadline = aMoment.m_now + patience;
   call.m_ledger = AttemptLedger(configuration->AttemptTotal(aCall.m_operation));
@@ -93,7 +98,6 @@
   call.m_id = aCall.m_call;
   call.m_header = aInheritance.m_parent;
   call.m_header.m_operation = aCall.m_operation;
-  call.m_header.m_key = aCall.m_key;
   call.m_header.m_depth = aInheritance.m_parent.m_depth + 1;
   call.m_payload = aCall.m_payload;
   call.m_parent = aCall.m_parent;
@@ -113,6 +117,7 @@
     return;
   }
   stored.m_idempotent = operation->m_idempotent;
+  SetKey(stored, aCall.m_key);
   TryNext(stored, aMoment, aOutput);
 }
 
@@ -154,6 +159,9 @@
     return;
   }
   call->m_lastReason = report.m_reason;
+  call->m_ownerRefused = report.m_outcome == Outcome::NotRun &&
+                         report.m_reason != Reason::NotOwner &&
+                         report.m_reason != Reason::Withdrawn;
   call->m_mayHaveRun |= report.m_outcome == Outcome::Unknown;
   RetryOrEnd(*call, aMoment, aOutput);
 }
@@ -193,6 +201,13 @@
   RetryOrEnd(*call, aMoment, aOutput);
 }
 
+void
+EntryFlow::SetKey(Call& aCall, const std::optional<IdempotencyKey>& aKey)
+{
+  aCall.m_isKeyed = !aCall.m_idempotent;
+  aCall.m_header.m_key = aCall.m_isKeyed ? aKey : std::nullopt;
+}
+
 void
 EntryFlow::TryNext(Call& aCall, Moment aMoment, FlowOutput& aOutput)
 {
@@ -212,12 +227,12 @@
     EndUnanswered(aCall, Reason::AttemptsSpent, aOutput);
     return;
   }
-  const Rank rank =
-    RankOf(aCall.m_header.m_importance, CohortOf(aCall.m_header.m_request));
-  const auto target = m_shared.m_routers.Choose(
-    aCall.m_header.m_operation.m_service, rank, aCall.m_tried, aMoment.m_now);
+  const auto target = Choose(aCall, aMoment.m_now);
   if (!target) {
     aCall.m_ledger.Return(grant);
+    if (aCall.m_isKeyed && Park(aCall)) {
+      return;
+    }
     EndUnanswered(aCall, aCall.m_lastReason, aOutput);
     return;
   }
@@ -237,27 +252,120 @@
                                               aCall.m_payload });
 }
 
+std::optional<RouteTarget>
+EntryFlow::Choose(const Call& aCall, Instant aNow)
+{
+  if (aCall.m_isKeyed) {
+    return ChooseOwner(aCall);
+  }
+  const Rank rank =
+    RankOf(aCall.m_header.m_importance, CohortOf(aCall.m_header.m_request));
+  return m_shared.m_routers.Choose(
+    aCall.m_header.m_operation.m_service, rank, aCall.m_tried, aNow);
+}
+
+std::optional<RouteTarget>
+EntryFlow::ChooseOwner(const Call& aCall)
+{
+  const std::string& service = aCall.m_header.m_operation.m_service;
+  const auto owner = m_shared.m_owners.Find(service, *aCall.m_header.m_key);
+  if (!owner) {
+    m_shared.m_owners.RequestRefresh(service);
+    return std::nullopt;
+  }
+  return RouteTarget{
+    owner->m_host, owner->m_incarnation, {}, {}, owner->m_peer
+  };
+}
+
+bool
+EntryFlow::MayRetry(const Call& aCall)
+{
+  if (aCall.m_tried.size() >= kGreatestTries) {
+    return false;
+  }
+  if (!aCall.m_isKeyed) {
+    return (aCall.m_idempotent || !aCall.m_mayHaveRun) &&
+           IsHelpedByAnotherHost(aCall.m_lastReason);
+  }
+  const std::string& service = aCall.m_header.m_operation.m_service;
+  m_shared.m_owners.RequestRefresh(service);
+  if (aCall.m_lastReason == Reason::ConnectionLost) {
+    // The owner answers a resend from its ledger and never runs it twice.
+    return true;
+  }
+  const auto owner = m_shared.m_owners.Find(service, *aCall.m_header.m_key);
+  return aCall.m_lastReason == Reason::NotOwner && owner &&
+         owner->m_host != aCall.m_tried.back();
+}
+
 void
 EntryFlow::RetryOrEnd(Call& aCall, Moment aMoment, FlowOutput& aOutput)
 {
   m_attempts.erase(aCall.m_attempt->m_id);
   aCall.m_attempt.reset();
-  const bool safe = aCall.m_idempotent || !aCall.m_mayHaveRun;
-  const bool useful = IsHelpedByAnotherHost(aCall.m_lastReason) &&
-                      aCall.m_tried.size() < kGreatestTries;
-  if (safe && useful) {
+  if (MayRetry(aCall)) {
     TryNext(aCall, aMoment, aOutput);
     return;
   }
+  if (aCall.m_lastReason == Reason::NotOwner && Park(aCall)) {
+    return;
+  }
   EndUnanswered(aCall, aCall.m_lastReason, aOutput);
 }
 
+bool
+EntryFlow::Park(Call& aCall)
+{
+  if (std::exchange(aCall.m_hasParked, true)) {
+    return false;
+  }
+  m_shared.m_owners.RequestRefresh(aCall.m_header.m_operation.m_service);
+  m_parked.push_back(aCall.m_id);
+  return true;
+}
+
+void
+EntryFlow::Resume(const std::string& aService,
+                  Moment aMoment,
+                  FlowOutput& aOutput)
+{
+  for (const CallId id : std::exchange(m_parked, {})) {
+    const auto call = m_calls.find(id);
+    if (call == m_calls.end()) {
+      continue;
+    }
+    if (call->second.m_header.m_operation.m_service != aService) {
+      m_parked.push_back(id);
+      continue;
+    }
+    TryNext(call->second, aMoment, aOutput);
+  }
+}
+
+void
+EntryFlow::Advance(Moment aMoment, FlowOutput& aOutput)
+{
+  for (const CallId id : std::exchange(m_parked, {})) {
+    const auto call = m_calls.find(id);
+    if (call == m_calls.end()) {
+      continue;
+    }
+    if (call->second.m_deadline <= aMoment.m_now) {
+      EndUnanswered(call->second, call->second.m_lastReason, aOutput);
+      continue;
+    }
+    m_parked.push_back(id);
+  }
+}
+
 void
 EntryFlow::EndUnanswered(Call& aCall, Reason aReason, FlowOutput& aOutput)
 {
   CallReport report;
-  report.m_outcome =
-    aCall.m_mayHaveRun || aCall.m_attempt ? Outcome::Unknown : Outcome::NotRun;
+  const bool isUnsettled = aCall.m_mayHaveRun || aCall.m_attempt ||
+                           (aCall.m_isKeyed && !aCall.m_ownerRefused);
+  report.m_outcome = isUnsettled ? Outcome::Unknown : Outcome::NotRun;
   report.m_reason = aReason;
   End(aCall, report, nullptr, aOutput);
 }
@@ -286,6 +394,9 @@
                          const AttemptResult& aResult,
                          Instant aNow)
 {
+  if (aCall.m_isKeyed) {
+    return;
+  }
   m_shared.m_routers.Report(aCall.m_header.m_operation.m_service,
                             aCall.m_attempt->m_target.m_host,
                             aResult,
--- a/modules/cr_node/flow/cr_EntryFlow.h
+++ b/modules/cr_node/flow/cr_EntryFlow.h
@@ -70,6 +70,13 @@
               Moment aMoment,
               FlowOutput& aOutput);
 
+  /** The service's map of key owners was read afresh, or could not be: calls
+      that waited for it go on. */
+  void Resume(const std::string& aService, Moment aMoment, FlowOutput& aOutput);
+
+  /** Ends calls that waited for a map of key owners until their deadline. */
+  void Advance(Moment aMoment, FlowOutput& aOutput);
+
   //==========================================================================
   /** Returns the number of calls in progress. */
   std::size_t Size() const { return m_calls.size(); }
@@ -95,10 +102,25 @@
     std::optional<Attempt> m_attempt;
     /** An earlier attempt may have run. */
     bool m_mayHaveRun = false;
+    /** The call must run at most once: only the owner of its key takes it, and
+        only the owner can tell that no earlier call with the key ran. */
+    bool m_isKeyed = false;
+    /** The owner told with its last answer that the key was never run. */
+    bool m_ownerRefused = false;
+    /** The call waited once for a fresh map of key owners. */
+    bool m_hasParked = false;
     Reason m_lastReason = Reason::NoServer;
   };
 
+  /* Keeps the key only when the call must run at most once, so that a gate can
+     tell such calls by their key. */
+  static void SetKey(Call& aCall, const std::optional<IdempotencyKey>& aKey);
   void TryNext(Call& aCall, Moment aMoment, FlowOutput& aOutput);
+  std::optional<RouteTarget> Choose(const Call& aCall, Instant aNow);
+  std::optional<RouteTarget> ChooseOwner(const Call& aCall);
+  bool MayRetry(const Call& aCall);
+  /* Lets the call wait for a fresh map of key owners; once for each call. */
+  bool Park(Call& aCall);
   void RetryOrEnd(Call& aCall, Moment aMoment, FlowOutput& aOutput);
   void EndUnanswered(Call& aCall, Reason aReason, FlowOutput& aOutput);
   void End(Call& aCall,
@@ -117,6 +139,8 @@
   std::uint64_t m_sequence = 0;
   std::unordered_map<CallId, Call> m_calls;
   std::unordered_map<AttemptId, CallId> m_attempts;
+  /** Calls that wait for a fresh map of key owners. */
+  std::vector<CallId> m_parked;
 };
 
 }
--- a/modules/cr_node/flow/cr_GateFlow.cpp
+++ b/modules/cr_node/flow/cr_GateFlow.cpp
@@ -49,6 +49,9 @@
     Refuse(aEvent.m_call, Reason::Withdrawn, aOutput);
     return;
   }
+  if (IsKeyed(aEvent.m_header) && !AdmitKeyed(aEvent, aMoment, aOutput)) {
+    return;
+  }
   if (m_server.m_service != aEvent.m_header.m_operation.m_service ||
       m_server.m_state != ServerState::Ready) {
     Refuse(aEvent.m_call,
@@ -77,6 +80,9 @@
   if (call == m_calls.end()) {
     return;
   }
+  if (call->second.m_keyed && LeaveRunning(aEvent.m_call)) {
+    return;
+  }
   call->second.m_callerGone = true;
   if (call->second.m_handedOver) {
     aOutput.m_actions.emplace_back(CancelHandOver{ aEvent.m_call });
@@ -84,7 +90,7 @@
   }
   m_gate.Withdraw(aEvent.m_call);
   Bury(call->second.m_attempt);
-  Forget(aEvent.m_call);
+  Refuse(aEvent.m_call, Reason::CallerGone, aOutput);
   GateDecisions decisions;
   m_gate.Advance(aMoment.m_now, decisions);
   Carry(decisions, aMoment, aOutput);
@@ -194,6 +200,7 @@
       aMoment.m_now - m_server.m_renewed >= kServerLapse) {
     CloseServer(ServerState::Absent, Reason::NoServer, aOutput);
   }
+  m_ledger.Advance(aMoment.m_now);
   GateDecisions decisions;
   m_gate.Advance(aMoment.m_now, decisions);
   Carry(decisions, aMoment, aOutput);
@@ -274,6 +281,9 @@
                  FlowOutput& aOutput)
 {
   const Call& call = m_calls.at(aId);
+  if (call.m_keyed && !call.m_isAttached) {
+    EndKeyed(aId, aReport, aPayload, aOutput);
+  }
   CallReport report = aReport;
   report.m_level = m_gate.Level();
   report.m_generation = m_shared.m_configuration.Current()->m_generation;
--- a/modules/cr_node/flow/cr_GateFlow.h
+++ b/modules/cr_node/flow/cr_GateFlow.h
@@ -8,6 +8,7 @@
 #include "cr_admission/cr_admission.h"
 #include "cr_membership/cr_membership.h"
 #include "cr_node/flow/cr_EntryFlow.h"
+#include "cr_ownership/cr_ownership.h"
 
 namespace cr {
 
@@ -74,6 +75,9 @@
   /** Returns what is known of the backend server. */
   const ServerView& Server() const { return m_server; }
 
+  /** Returns what is remembered of non-idempotent calls, for reports. */
+  const KeyLedger& Ledger() const { return m_ledger; }
+
   /** Returns the gate, for reports. */
   const Gate& GateState() const { return m_gate; }
 
@@ -89,6 +93,11 @@
     Instant m_deadline;
     GateToken m_token;
     AttemptLedger m_ledger;
+    /** Set for a call that must run at most once and that this node decides
+        on: its identity in the ledger of keys. */
+    std::optional<KeyedCall> m_keyed;
+    /** A resend that waits for the end of the first run. */
+    bool m_isAttached = false;
     bool m_handedOver = false;
     bool m_callerGone = false;
   };
@@ -96,6 +105,18 @@
   void Carry(const GateDecisions& aDecisions,
              Moment aMoment,
              FlowOutput& aOutput);
+  /* Decides on a non-idempotent call; returns whether the gate may take it. */
+  bool AdmitKeyed(const PeerCall& aEvent, Moment aMoment, FlowOutput& aOutput);
+  bool BeginKeyed(const PeerCall& aEvent, Moment aMoment, FlowOutput& aOutput);
+  bool IsKeyed(const CallHeader& aHeader) const;
+  /* Ends the call's record and answers the resends that waited for it. */
+  void EndKeyed(CallId aCall,
+                const CallReport& aReport,
+                const PayloadPointer& aPayload,
+                FlowOutput& aOutput);
+  /* The caller of a keyed call is gone. Returns whether the call goes on, for a
+     resend. */
+  bool LeaveRunning(CallId aCall);
   void HandOverCall(CallId aCall, Moment aMoment, FlowOutput& aOutput);
   void Answer(CallId aId,
               const CallReport& aReport,
@@ -112,6 +133,7 @@
   Gate m_gate;
   ServerView m_server;
   bool m_shuttingDown = false;
+  KeyLedger m_ledger;
   std::unordered_map<CallId, Call> m_calls;
   std::unordered_map<AttemptId, CallId> m_attempts;
   std::unordered_map<GateToken, CallId> m_tokens;
--- /dev/null
+++ b/modules/cr_node/flow/cr_GateFlowKeyed.cpp
@@ -0,0 +1,125 @@
+#include "cr_node/flow/cr_GateFlow.h"
+
+namespace cr {
+
+namespace {
+
+/* Customers' clocks may be ahead by this much. */
+constexpr WallMilliseconds kClockTolerance = 60'000;
+
+Reason
+ReasonFor(HoldingVerdict aVerdict)
+{
+  return aVerdict == HoldingVerdict::TooEarly ? Reason::KeyTooEarly
+                                              : Reason::NotOwner;
+}
+
+}
+
+bool
+GateFlow::IsKeyed(const CallHeader& aHeader) const
+{
+  if (aHeader.m_key) {
+    return true;
+  }
+  const OperationDescription* operation =
+    m_shared.m_configuration.Current()->Find(aHeader.m_operation);
+  return operation != nullptr && !operation->m_idempotent;
+}
+
+bool
+GateFlow::AdmitKeyed(const PeerCall& aEvent,
+                     Moment aMoment,
+                     FlowOutput& aOutput)
+{
+  if (!aEvent.m_header.m_key) {
+    Refuse(aEvent.m_call, Reason::KeyMissing, aOutput);
+    return false;
+  }
+  m_ledger.Advance(aMoment.m_now);
+  const KeyedCall keyed{ *aEvent.m_header.m_key, aEvent.m_header.m_operation };
+  const std::uint64_t fingerprint = FingerprintOf(aEvent.m_payload);
+  const LedgerVerdict verdict = m_ledger.Find(keyed, fingerprint);
+  if (std::holds_alternative<LedgerRun>(verdict)) {
+    return BeginKeyed(aEvent, aMoment, aOutput);
+  }
+  Call& call = m_calls.at(aEvent.m_call);
+  if (std::holds_alternative<LedgerAttached>(verdict)) {
+    if (m_ledger.Attach(keyed, aEvent.m_call)) {
+      call.m_keyed = keyed;
+      call.m_isAttached = true;
+      m_attempts.emplace(aEvent.m_attempt, aEvent.m_call);
+      return false;
+    }
+    Answer(aEvent.m_call,
+           { Outcome::Unknown, Reason::Overloaded },
+           nullptr,
+           aOutput);
+  } else if (const auto* answered = std::get_if<LedgerAnswered>(&verdict)) {
+    CallReport report = answered->m_report;
+    report.m_unspent = call.m_ledger.Available();
+    Answer(aEvent.m_call, report, answered->m_payload, aOutput);
+  } else if (const auto* refused = std::get_if<LedgerRefused>(&verdict)) {
+    Answer(aEvent.m_call,
+           { refused->m_outcome, refused->m_reason },
+           nullptr,
+           aOutput);
+  }
+  return false;
+}
+
+bool
+GateFlow::BeginKeyed(const PeerCall& aEvent,
+                     Moment aMoment,
+                     FlowOutput& aOutput)
+{
+  const CallHeader& header = aEvent.m_header;
+  const HoldingVerdict holding =
+    m_shared.m_owners.Accept(header.m_operation.m_service,
+                             *header.m_key,
+                             aMoment.m_wall + kClockTolerance);
+  if (holding != HoldingVerdict::Held) {
+    m_shared.m_owners.RequestRefresh(header.m_operation.m_service);
+    Refuse(aEvent.m_call, ReasonFor(holding), aOutput);
+    return false;
+  }
+  const KeyedCall keyed{ *header.m_key, header.m_operation };
+  const auto refused = m_ledger.Begin(keyed, FingerprintOf(aEvent.m_payload));
+  if (refused) {
+    Answer(aEvent.m_call,
+           { refused->m_outcome, refused->m_reason },
+           nullptr,
+           aOutput);
+    return false;
+  }
+  m_calls.at(aEvent.m_call).m_keyed = keyed;
+  return true;
+}
+
+void
+GateFlow::EndKeyed(CallId aCall,
+                   const CallReport& aReport,
+                   const PayloadPointer& aPayload,
+                   FlowOutput& aOutput)
+{
+  const KeyedCall keyed = *m_calls.at(aCall).m_keyed;
+  for (const CallId waiter : m_ledger.End(keyed, aReport, aPayload)) {
+    CallReport report = aReport;
+    report.m_unspent = m_calls.at(waiter).m_ledger.Available();
+    Answer(waiter, report, aPayload, aOutput);
+  }
+}
+
+bool
+GateFlow::LeaveRunning(CallId aCall)
+{
+  const Call& call = m_calls.at(aCall);
+  if (call.m_isAttached) {
+    m_ledger.Detach(*call.m_keyed, aCall);
+    Forget(aCall);
+    return true;
+  }
+  return call.m_handedOver || m_ledger.HasWaiters(*call.m_keyed);
+}
+
+}
--- a/modules/cr_node/shared/cr_NodeShared.h
+++ b/modules/cr_node/shared/cr_NodeShared.h
@@ -2,6 +2,7 @@
 
 #include "cr_node/event/cr_NodeIdentity.h"
 #include "cr_node/shared/cr_ConfigurationHolder.h"
+#include "cr_node/shared/cr_OwnerTable.h"
 #include "cr_node/shared/cr_RouterTable.h"
 #include "cr_suspects/cr_suspects.h"
 
@@ -16,6 +17,8 @@
     : m_identity(std::move(aIdentity))
     , m_policy(aPolicy)
     , m_routers(m_identity, m_policy)
+    , m_owners(
+        { m_identity.m_host, m_identity.m_incarnation, m_identity.m_peer })
   {
   }
 
@@ -23,6 +26,7 @@
   const PolicySwitches m_policy;
   ConfigurationHolder m_configuration;
   RouterTable m_routers;
+  OwnerTable m_owners;
   Guarded<SuspectTable> m_suspects;
 };
 
--- /dev/null
+++ b/modules/cr_node/shared/cr_OwnerTable.cpp
@@ -0,0 +1,114 @@
+#include "cr_node/shared/cr_OwnerTable.h"
+
+namespace cr {
+
+namespace {
+
+constexpr std::size_t kRequestLimit = 64;
+
+}
+
+OwnerTable::OwnerTable(Owner aSelf)
+  : m_state(std::move(aSelf))
+{
+}
+
+void
+OwnerTable::Adopt(const std::string& aService,
+                  OwnershipMapPointer aMap,
+                  RowVersion aVersion,
+                  bool aIsOwn)
+{
+  m_state.With([&](State& aState) {
+    Entry& entry = aState.m_entries[aService];
+    if (aVersion > entry.m_version) {
+      entry = { aMap, aVersion };
+    }
+    if (aIsOwn && aState.m_ownService.empty()) {
+      aState.m_ownService = aService;
+    }
+    if (aService == aState.m_ownService) {
+      aState.m_holding.Adopt(std::move(aMap), aVersion);
+    }
+  });
+}
+
+std::optional<OwnershipPlan>
+OwnerTable::Plan(const OwnershipMap& aMap,
+                 const OwnershipSituation& aSituation,
+                 const OwnershipTimes& aTimes)
+{
+  return m_state.With([&](State& aState) {
+    return PlanOwnership(aMap, aSituation, aTimes, aState.m_holding);
+  });
+}
+
+HoldingVerdict
+OwnerTable::Accept(const std::string& aService,
+                   const IdempotencyKey& aKey,
+                   WallMilliseconds aLatestBirth)
+{
+  const auto birth = BirthTime(aKey);
+  if (!birth) {
+    return HoldingVerdict::NotHeld;
+  }
+  return m_state.With([&](State& aState) {
+    if (aService != aState.m_ownService) {
+      return HoldingVerdict::NotHeld;
+    }
+    return aState.m_holding.Accept(PartitionOf(aKey), *birth, aLatestBirth);
+  });
+}
+
+void
+OwnerTable::RequestRefresh(const std::string& aService)
+{
+  m_state.With([&](State& aState) {
+    if (aState.m_requests.size() < kRequestLimit) {
+      aState.m_requests.insert(aService);
+    }
+  });
+}
+
+std::set<std::string>
+OwnerTable::TakeRequests()
+{
+  return m_state.With(
+    [](State& aState) { return std::exchange(aState.m_requests, {}); });
+}
+
+std::optional<Owner>
+OwnerTable::Find(const std::string& aService, const IdempotencyKey& aKey) const
+{
+  const OwnershipMapPointer map = MapOf(aService);
+  const auto birth = BirthTime(aKey);
+  if (!map || !birth) {
+    return std::nullopt;
+  }
+  const std::size_t partition = PartitionOf(aKey);
+  const Segment* segment = map->Find(partition, *birth);
+  if (segment == nullptr && !map->m_partitions.at(partition).empty() &&
+      *birth >= map->m_partitions.at(partition).back().m_end) {
+    // The last owner known may have moved its end up since.
+    segment = &map->m_partitions.at(partition).back();
+  }
+  return segment == nullptr ? std::nullopt : std::optional(segment->m_owner);
+}
+
+OwnershipMapPointer
+OwnerTable::MapOf(const std::string& aService) const
+{
+  return m_state.With([&](const State& aState) {
+    const auto entry = aState.m_entries.find(aService);
+    return entry == aState.m_entries.end() ? nullptr : entry->second.m_map;
+  });
+}
+
+bool
+OwnerTable::HasRequests() const
+{
+  return m_state.With(
+    [](const State& aState) { return !aState.m_requests.empty(); });
+}
+
+}
