Metrics, health checks and usage on the operator port

Cause: a node told operators only its status. Change: module cr_metrics (sharded counters, Boost.Histogram latencies, text exposition); NodeMetrics watches each event with its actions in the shell; /metrics, /health/live and /health/ready; usage in /status. Before: no metrics. After: cr_metrics_tests 4 of 4 and cr_process_tests 7 of 7 pass. Checked that the check can fail: with the lower instead of the upper end of a bin, the quantile property fails.

--- /dev/null
+++ b/modules/cr_metrics/cr_metrics.h
@@ -0,0 +1,12 @@
+#pragma once
+
+/** Counters and latency histograms of a process, and the text that operators'
+    collectors read.
+
+    Only cr_LatencyHistogram.cpp includes Boost.Histogram.
+
+    @see MetricRegistry, LatencyHistogram, ProcessUsage */
+
+#include "cr_metrics/histogram/cr_LatencyHistogram.h"
+#include "cr_metrics/process/cr_ProcessUsage.h"
+#include "cr_metrics/registry/cr_MetricRegistry.h"
--- /dev/null
+++ b/modules/cr_metrics/histogram/cr_LatencyHistogram.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "cr_core/cr_core.h"
+
+namespace cr {
+
+/** Number of latencies that are not greater than a bound. */
+struct LatencyBucket
+{
+  Duration m_upTo = Duration::zero();
+  std::uint64_t m_count = 0;
+};
+
+/** Latencies in logarithmic bins from 10 microseconds to 100 seconds, kept by
+    Boost.Histogram. Smaller and greater values are counted at the ends.
+
+    Not thread safe; holders keep it in shards. */
+class LatencyHistogram
+{
+public:
+  /** Makes an empty histogram. More bins per factor of ten cost memory and make
+      quantiles finer. Precondition: aBinsPerDecade is even and > 0. */
+  explicit LatencyHistogram(std::uint32_t aBinsPerDecade = 20);
+  LatencyHistogram(const LatencyHistogram& aOther);
+  LatencyHistogram& operator=(const LatencyHistogram& aOther);
+  LatencyHistogram(LatencyHistogram&& aOther) noexcept;
+  LatencyHistogram& operator=(LatencyHistogram&& aOther) noexcept;
+  ~LatencyHistogram();
+
+  //==========================================================================
+  /** Counts one latency. */
+  void Add(Duration aLatency);
+
+  /** Adds the counts of another histogram. Precondition: it has the same
+      number of bins per decade. */
+  void Merge(const LatencyHistogram& aOther);
+
+  //==========================================================================
+  /** Returns the number of latencies counted. */
+  std::uint64_t Count() const { return m_count; }
+
+  /** Returns the sum of the latencies counted. */
+  Duration Sum() const { return m_sum; }
+
+  /** Returns the upper end of the bin that holds the quantile, never less than
+      the quantile within the range; zero when nothing was counted.
+      Precondition: aQuantile is in [0, 1]. */
+  Duration Quantile(double aQuantile) const;
+
+  /** Returns cumulative counts at two bounds per decade. */
+  std::vector<LatencyBucket> Buckets() const;
+
+private:
+  struct Bins;
+
+  std::uint32_t m_binsPerDecade;
+  std::uint64_t m_count = 0;
+  Duration m_sum = Duration::zero();
+  std::unique_ptr<Bins> m_bins;
+};
+
+}
--- /dev/null
+++ b/modules/cr_metrics/process/cr_ProcessUsage.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <cstdint>
+
+#include "cr_core/cr_core.h"
+
+namespace cr {
+
+/** What the calling process has used of its host. */
+struct ProcessUsage
+{
+  /** Processor time of all threads, user and system. */
+  Duration m_processor = Duration::zero();
+  std::uint64_t m_residentBytes = 0;
+  std::uint64_t m_threads = 0;
+};
+
+/** Reads the usage of the calling process from the operating system; fields
+    that cannot be read are 0. Thread safe. */
+ProcessUsage
+ReadProcessUsage();
+
+}
--- a/modules/cr_process/cr_process.h
+++ b/modules/cr_process/cr_process.h
@@ -6,6 +6,8 @@
     @see NodeServer, NodeDecisions */
 
 #include "cr_process/report/cr_Log.h"
+#include "cr_process/report/cr_NodeMetrics.h"
+#include "cr_process/report/cr_OperatorReport.h"
 #include "cr_process/report/cr_StatusReport.h"
 #include "cr_process/server/cr_NodeServer.h"
 #include "cr_process/wire/cr_CallWire.h"
--- /dev/null
+++ b/modules/cr_process/report/cr_NodeMetrics.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <array>
+#include <span>
+#include <string>
+#include <unordered_map>
+
+#include "cr_metrics/cr_metrics.h"
+#include "cr_node/cr_node.h"
+
+namespace cr {
+
+/** Path of the metrics on the operator port. */
+inline constexpr std::string_view kMetricsPath = "/metrics";
+
+/** What a node has used since its start. */
+struct NodeUsage
+{
+  ProcessUsage m_process;
+  /** Bytes of control messages, in and out. */
+  std::uint64_t m_controlBytes = 0;
+};
+
+/** Counts what a node's decisions learn and ask for. It only watches: it
+    changes no decision. All methods are thread safe. */
+class NodeMetrics
+{
+public:
+  NodeMetrics();
+
+  //==========================================================================
+  /** Counts one event together with the actions that followed from it. */
+  void Observe(const Event& aEvent,
+               std::span<const Action> aActions,
+               Instant aNow);
+
+  //==========================================================================
+  /** Writes all metrics, with gauges from the status, in the text exposition
+      format. */
+  std::string Write(const NodeStatus& aStatus) const;
+
+  /** Returns what the process and its control messages have used so far. */
+  NodeUsage Usage() const;
+
+private:
+  /* A call in progress, to tell its latencies and labels when it ends. */
+  struct OpenCall
+  {
+    OperationName m_operation;
+    Importance m_importance = Importance::Normal;
+    std::string_view m_entrance;
+    Instant m_arrived;
+    Instant m_handedOver;
+  };
+  using OpenCalls = std::unordered_map<CallId, OpenCall>;
+
+  void Count(const CustomerCall& aEvent, Instant aNow);
+  void Count(const ChildCall& aEvent, Instant aNow);
+  void Count(const PeerCall& aEvent, Instant aNow);
+  void Count(const CallerGone& aEvent, Instant aNow);
+  void Count(const AttemptFailed& aEvent, Instant aNow);
+  void Count(const WithdrawAnswered& aEvent, Instant aNow);
+  void Count(const ServerAnswered& aEvent, Instant aNow);
+  void Count(const ServerFailed& aEvent, Instant aNow);
+  void Count(const RumourArrived& aEvent, Instant aNow);
+  void Count(const RumourAnswered& aEvent, Instant aNow);
+  void Count(const StoreAnswered& aEvent, Instant aNow);
+  void Count(const HandOver& aAction, Instant aNow);
+  void Count(const AnswerCall& aAction, Instant aNow);
+  void Count(const SendRumour& aAction, Instant aNow);
+  void Count(const AnswerRumour& aAction, Instant aNow);
+  void Count(const CallStore& aAction, Instant aNow);
+  template<typename Other>
+  void Count(const Other& /*aOther*/, Instant /*aNow*/)
+  {
+  }
+
+  void CountForward(const ForwardCall& aAction, bool aRetry);
+  void CountServer(CallId aCall, std::string_view aResult, Instant aNow);
+  void CountControl(std::string_view aKind,
+                    std::string_view aDirection,
+                    std::size_t aBytes);
+  void Open(CallId aCall, OpenCall aOpen);
+  Guarded<OpenCalls>& ShardOf(CallId aCall);
+
+  MetricRegistry m_registry;
+  std::array<Guarded<OpenCalls>, kShardCount> m_open;
+};
+
+}
--- a/modules/cr_process/report/cr_StatusReport.cpp
+++ b/modules/cr_process/report/cr_StatusReport.cpp
@@ -22,10 +22,20 @@
   return value;
 }
 
+Json::Value
+Encode(const NodeUsage& aUsage)
+{
+  Json::Value value(Json::objectValue);
+  value["processor_us"] = Json::Int64(aUsage.m_process.m_processor.count());
+  value["resident_bytes"] = Json::UInt64(aUsage.m_process.m_residentBytes);
+  value["control_bytes"] = Json::UInt64(aUsage.m_controlBytes);
+  return value;
+}
+
 }
 
 std::string
-EncodeStatus(const NodeStatus& aStatus)
+EncodeStatus(const NodeStatus& aStatus, const NodeUsage& aUsage)
 {
   Json::Value value(Json::objectValue);
   value["host"] = aStatus.m_host;
@@ -42,6 +52,7 @@
   for (const auto& [service, count] : aStatus.m_hosts) {
     value["hosts"][service] = Json::UInt64(count);
   }
+  value["usage"] = Encode(aUsage);
   return WriteJson(value);
 }
 
--- a/modules/cr_process/server/cr_NodeServer.cpp
+++ b/modules/cr_process/server/cr_NodeServer.cpp
@@ -10,7 +10,7 @@
 #include <fmt/format.h>
 
 #include "cr_process/report/cr_Log.h"
-#include "cr_process/report/cr_StatusReport.h"
+#include "cr_process/report/cr_OperatorReport.h"
 #include "cr_process/wire/cr_CallWire.h"
 #include "cr_process/wire/cr_RumourWire.h"
 #include "cr_rpc/cr_rpc.h"
@@ -139,6 +139,7 @@
 
   const NodeSettings m_settings;
   NodeDecisions m_decisions;
+  NodeMetrics m_metrics;
   std::atomic<std::uint64_t> m_sequence{ 0 };
   OpenMap<CallId, OpenCall> m_calls;
   OpenMap<AttemptId, HttpExchange> m_attempts;
@@ -289,12 +290,8 @@
 NodeServer::Implementation::HandleOperator(const HttpRequest& aRequest,
                                            const HttpResponder& aResponder)
 {
-  if (aRequest.m_target == kStatusPath) {
-    aResponder.Send(MakeTextResponse(
-      kHttpOk, EncodeStatus(m_decisions.Status()), "application/json"));
-    return;
-  }
-  aResponder.Send(MakeTextResponse(kHttpNotFound, "no such path\n"));
+  aResponder.Send(
+    AnswerOperator(aRequest.m_target, m_decisions.Status(), m_metrics));
 }
 
 void
@@ -317,7 +314,9 @@
 NodeServer::Implementation::AnswerRpc(const Event& aEvent)
 {
   Actions actions;
-  m_decisions.Handle(aEvent, Now(), actions);
+  const Moment moment = Now();
+  m_decisions.Handle(aEvent, moment, actions);
+  m_metrics.Observe(aEvent, actions, moment.m_now);
   Json::Value result(Json::objectValue);
   for (const Action& action : actions) {
     if (const auto* answer = std::get_if<Answer>(&action)) {
@@ -375,7 +374,9 @@
     return;
   }
   Actions actions;
-  m_decisions.Handle(aEvent, Now(), actions);
+  const Moment moment = Now();
+  m_decisions.Handle(aEvent, moment, actions);
+  m_metrics.Observe(aEvent, actions, moment.m_now);
   for (const Action& action : actions) {
     std::visit([this](const auto& aTyped) { Do(aTyped); }, action);
   }
