Stand-in servers can share the keys that ran

Cause: a second run of an idempotency key on another server went unseen. Change: BackendServerPlan::m_runKeys, shared by the servers of an experiment. Before: the load program counted second runs within one server only.

--- a/stand_ins/server_stand_in/server/cr_BackendServer.cpp
+++ b/stand_ins/server_stand_in/server/cr_BackendServer.cpp
@@ -2,7 +2,6 @@
 
 #include <atomic>
 #include <deque>
-#include <set>
 
 #include <fmt/format.h>
 
@@ -43,7 +42,6 @@
 {
   std::uint32_t m_running = 0;
   std::deque<JobPointer> m_queue;
-  std::set<std::string, std::less<>> m_keys;
   BackendServerRecord m_record;
   BackendServerFaults m_faults;
 };
@@ -87,6 +85,9 @@
     , m_plan(std::move(aPlan))
     , m_client(aThreads, {})
   {
+    if (!m_plan.m_runKeys) {
+      m_plan.m_runKeys = std::make_shared<RunKeys>();
+    }
   }
 
   Expected<Endpoint> Start();
@@ -247,10 +248,14 @@
 {
   aJob->m_started = IoThreads::Now();
   const std::string key = HeaderOf(*aJob, kKeyHeader);
+  const bool isSecond =
+    !key.empty() && !aJob->m_operation->m_idempotent &&
+    m_plan.m_runKeys->With([&](auto& aKeys) {
+      return !aKeys.insert(key + ToText(aJob->m_name)).second;
+    });
   const auto [time, crashes] = m_state.With([&](State& aState) {
     ++aState.m_record.m_runs;
-    if (!key.empty() && !aJob->m_operation->m_idempotent &&
-        !aState.m_keys.insert(key + ToText(aJob->m_name)).second) {
+    if (isSecond) {
       ++aState.m_record.m_doubleRuns;
     }
     return std::pair(m_plan.m_serviceTime + aState.m_faults.m_extraTime,
--- a/stand_ins/server_stand_in/server/cr_BackendServer.h
+++ b/stand_ins/server_stand_in/server/cr_BackendServer.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "cr_configuration/cr_configuration.h"
@@ -9,6 +10,10 @@
 
 namespace cr {
 
+/** Idempotency keys that ran, shared by servers. */
+using RunKeys = Guarded<std::set<std::string, std::less<>>>;
+using RunKeysPointer = std::shared_ptr<RunKeys>;
+
 /** What a stand-in server is. */
 struct BackendServerPlan
 {
@@ -20,6 +25,9 @@
   /** Time that a call holds a slot before its own calls are made. */
   Duration m_serviceTime = Milliseconds(5);
   std::uint64_t m_instance = 1;
+  /** Keys of non-idempotent operations that ran. Servers that share it find a
+      second run on another server too; without one, each keeps its own. */
+  RunKeysPointer m_runKeys;
 };
 
 /** How a stand-in server misbehaves. */
