--- a/benchmarks/corianderrack-load/cr_LoadRun.cpp
+++ b/benchmarks/corianderrack-load/cr_LoadRun.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kPollInterval = Milliseconds(100);
 constexpr Duration kPollTimeout = Seconds(1);
 constexpr Duration kAnswerLimit = Seconds(15);
+/** Time after the start during which nodes get to know each other. */
+constexpr Duration kSettleTime = Seconds(3);
 constexpr Duration kTick = Milliseconds(20);
 
 }
@@ -119,6 +121,9 @@
 LoadRun::Implementation::SendLoad()
 {
   LoadResult result;
+  if (m_scenario.m_idle > Duration::zero()) {
+    std::this_thread::sleep_for(kSettleTime);
+  }
   const FleetSnapshot first = TakeSnapshot(m_client, m_scenario);
   std::this_thread::sleep_for(m_scenario.m_idle);
   const FleetSnapshot second = TakeSnapshot(m_client, m_scenario);
