--- a/modules/cr_metrics/tests/cr_MetricRegistryTest.cpp
+++ b/modules/cr_metrics/tests/cr_MetricRegistryTest.cpp
@@ -26,6 +26,7 @@
 {
   MetricRegistry registry(kFamilies);
   std::vector<std::thread> threads;
+  threads.reserve(4);
   for (int thread = 0; thread < 4; ++thread) {
     threads.emplace_back([&] {
       const std::array<MetricLabel, 1> labels = { { { "service", "kasse" } } };
