Publication is settled by its audit row; races keep both teams' changes

Cause: after a lost answer only the head was compared, so a publication that another one had followed was reported as a conflict although it took effect.

Audit rows name manifest, changed and removed services.

Conclusion: a change reported as published is in force until a later one to the same service.

--- a/modules/cr_configuration/description/cr_ConfigurationCheck.cpp
+++ b/modules/cr_configuration/description/cr_ConfigurationCheck.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::uint32_t kGreatestDepth = 32;
 constexpr std::uint32_t kGreatestAttempts = 256;
+constexpr std::size_t kGreatestServices = 1024;
 
 /* Walks the call graph depth first and derives each operation's demand. */
 class DemandWalk
@@ -59,6 +60,11 @@
                       ToMilliseconds(callee->m_patience),
                       ToMilliseconds(aCaller.m_patience)));
     }
+    if (aCaller.m_idempotent && !callee->m_idempotent) {
+      Add(aCall,
+          "is not idempotent, so this operation, which calls it, is not "
+          "idempotent either");
+    }
     const OperationDemand& below = Visit(aCall.m_name, *callee);
     aDemand.m_firstTries = std::min(aDemand.m_firstTries + below.m_firstTries,
                                     kGreatestAttempts + 1);
@@ -121,6 +127,13 @@
                       place->second.m_place.m_file) });
     }
   }
+  if (configuration.m_services.size() > kGreatestServices) {
+    aFindings.push_back(
+      { aServices.back().m_place,
+        fmt::format("there are {} services; at most {} are allowed",
+                    configuration.m_services.size(),
+                    kGreatestServices) });
+  }
   DemandWalk walk(configuration, aFindings);
   for (const auto& [serviceName, service] : configuration.m_services) {
     for (const auto& [operationName, operation] : service.m_operations) {
--- a/modules/cr_configuration/publish/cr_ConfigurationRows.cpp
+++ b/modules/cr_configuration/publish/cr_ConfigurationRows.cpp
@@ -18,6 +18,9 @@
   if (!value) {
     return tl::unexpected(value.error());
   }
+  if (!value->isObject()) {
+    return Failure(ErrorCode::Malformed, "an object is expected");
+  }
   try {
     return aDecode(*value);
   } catch (const Json::Exception& exception) {
@@ -25,6 +28,28 @@
   }
 }
 
+Json::Value
+ToJson(const ConfigurationHead& aHead)
+{
+  Json::Value value(Json::objectValue);
+  value["generation"] = Json::UInt64(aHead.m_generation);
+  value["manifest"] = aHead.m_manifest;
+  value["publication"] = aHead.m_publication;
+  value["operator"] = aHead.m_operator;
+  value["time"] = Json::Int64(aHead.m_time);
+  return value;
+}
+
+ConfigurationHead
+ReadHead(const Json::Value& aValue)
+{
+  return { aValue["generation"].asUInt64(),
+           aValue["manifest"].asString(),
+           aValue["publication"].asString(),
+           aValue["operator"].asString(),
+           aValue["time"].asInt64() };
+}
+
 }
 
 RowKey
@@ -36,7 +61,8 @@
 RowKey
 AuditRow(Generation aGeneration)
 {
-  return { "audit", fmt::format("configuration/{:012}", aGeneration) };
+  return { std::string(kAuditTable),
+           fmt::format("{}/{:012}", kPublicationKind, aGeneration) };
 }
 
 std::string
@@ -48,24 +74,50 @@
 std::string
 EncodeHead(const ConfigurationHead& aHead)
 {
-  Json::Value value(Json::objectValue);
-  value["generation"] = Json::UInt64(aHead.m_generation);
-  value["manifest"] = aHead.m_manifest;
-  value["publication"] = aHead.m_publication;
-  value["operator"] = aHead.m_operator;
-  value["time"] = Json::Int64(aHead.m_time);
-  return WriteJson(value);
+  return WriteJson(ToJson(aHead));
 }
 
 Expected<ConfigurationHead>
 DecodeHead(std::string_view aText)
 {
-  return DecodeWith<ConfigurationHead>(aText, [](const Json::Value& aValue) {
-    return ConfigurationHead{ aValue["generation"].asUInt64(),
-                              aValue["manifest"].asString(),
-                              aValue["publication"].asString(),
-                              aValue["operator"].asString(),
-                              aValue["time"].asInt64() };
+  return DecodeWith<ConfigurationHead>(aText, ReadHead);
+}
+
+std::string
+EncodeRecord(const PublicationRecord& aRecord)
+{
+  Json::Value value = ToJson(aRecord.m_head);
+  value["kind"] = "publication";
+  value["base"] = Json::UInt64(aRecord.m_base);
+  value["changed"] = Json::Value(Json::arrayValue);
+  value["removed"] = Json::Value(Json::arrayValue);
+  for (const std::string& service : aRecord.m_changed) {
+    value["changed"].append(service);
+  }
+  for (const std::string& service : aRecord.m_removed) {
+    value["removed"].append(service);
+  }
+  if (aRecord.m_from != 0) {
+    value["from"] = Json::UInt64(aRecord.m_from);
+  }
+  return WriteJson(value);
+}
+
+Expected<PublicationRecord>
+DecodeRecord(std::string_view aText)
+{
+  return DecodeWith<PublicationRecord>(aText, [](const Json::Value& aValue) {
+    PublicationRecord record;
+    record.m_head = ReadHead(aValue);
+    record.m_base = aValue["base"].asUInt64();
+    record.m_from = aValue["from"].asUInt64();
+    for (const Json::Value& service : aValue["changed"]) {
+      record.m_changed.push_back(service.asString());
+    }
+    for (const Json::Value& service : aValue["removed"]) {
+      record.m_removed.push_back(service.asString());
+    }
+    return record;
   });
 }
 
--- a/modules/cr_configuration/publish/cr_ConfigurationRows.h
+++ b/modules/cr_configuration/publish/cr_ConfigurationRows.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "cr_configuration/description/cr_Configuration.h"
 #include "cr_platform/cr_platform.h"
@@ -13,6 +14,13 @@
 RowKey
 HeadRow();
 
+/** Name of the table that holds the audit trail. Its keys are `<kind>/<sortable
+    text>`, so that a scan reads one kind in order. */
+inline constexpr std::string_view kAuditTable = "audit";
+
+/** Kind of the audit trail's rows on publications. */
+inline constexpr std::string_view kPublicationKind = "configuration";
+
 /** Row of the audit trail for a generation. */
 RowKey
 AuditRow(Generation aGeneration);
@@ -33,6 +41,18 @@
   WallMilliseconds m_time = 0;
 };
 
+/** What the audit trail says of a publication. */
+struct PublicationRecord
+{
+  ConfigurationHead m_head;
+  Generation m_base = 0;
+  /** Services whose file is new or differs from the base. */
+  std::vector<std::string> m_changed;
+  std::vector<std::string> m_removed;
+  /** The older generation whose content was published again; 0 if none. */
+  Generation m_from = 0;
+};
+
 /** The services of a generation and the object that holds each one's file. */
 struct Manifest
 {
@@ -47,6 +67,14 @@
 Expected<ConfigurationHead>
 DecodeHead(std::string_view aText);
 
+/** Writes a row of the audit trail. Thread safe. */
+std::string
+EncodeRecord(const PublicationRecord& aRecord);
+
+/** Reads a row of the audit trail on a publication. Thread safe. */
+Expected<PublicationRecord>
+DecodeRecord(std::string_view aText);
+
 /** Writes the manifest object. Thread safe. */
 std::string
 EncodeManifest(const Manifest& aManifest);
--- a/modules/cr_configuration/publish/cr_Publisher.cpp
+++ b/modules/cr_configuration/publish/cr_Publisher.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include <fmt/format.h>
+
 #include "cr_configuration/description/cr_ConfigurationCheck.h"
 #include "cr_configuration/description/cr_ServiceFile.h"
 #include "cr_settings/cr_settings.h"
@@ -10,6 +12,13 @@
 
 namespace {
 
+constexpr int kCommitAttempts = 3;
+constexpr int kBaseAttempts = 8;
+constexpr std::uint32_t kPageLimit = 200;
+/* Generations among which a repeated publication is looked for: the newest, a
+   few days' worth. */
+constexpr Generation kRepeatWindow = 10000;
+
 /* The head as read, with the version that the transaction is conditional on. */
 struct Base
 {
@@ -73,6 +82,24 @@
   return base;
 }
 
+Expected<std::optional<PublicationRecord>>
+ReadRecord(const StoreCall& aStore, Generation aGeneration)
+{
+  const auto found =
+    Ask<RowFound>(aStore, ReadRequest{ AuditRow(aGeneration) });
+  if (!found) {
+    return tl::unexpected(found.error());
+  }
+  if (!found->m_row) {
+    return std::optional<PublicationRecord>();
+  }
+  const auto record = DecodeRecord(found->m_row->m_value);
+  if (!record) {
+    return tl::unexpected(record.error());
+  }
+  return std::optional<PublicationRecord>(*record);
+}
+
 /* Service files after the change: the given ones over those in force. */
 struct Change
 {
@@ -81,21 +108,64 @@
   std::vector<std::string> m_contents;
 };
 
+/* The manifest that the change starts from: the base, or an older one. */
+Expected<Manifest>
+ReadStart(const PublicationRequest& aRequest,
+          const Base& aBase,
+          const StoreCall& aStore)
+{
+  if (!aRequest.m_from) {
+    return aBase.m_manifest;
+  }
+  const auto record = ReadRecord(aStore, *aRequest.m_from);
+  if (!record) {
+    return tl::unexpected(record.error());
+  }
+  if (!*record) {
+    return Failure(ErrorCode::NotFound,
+                   fmt::format("there is no generation {}", *aRequest.m_from));
+  }
+  const auto text = FetchObject(aStore, (*record)->m_head.m_manifest);
+  if (!text) {
+    return tl::unexpected(text.error());
+  }
+  return DecodeManifest(*text);
+}
+
+void
+AddFiles(const PublicationRequest& aRequest,
+         Change& aChange,
+         Findings& aFindings)
+{
+  for (const ServiceFileText& file : aRequest.m_files) {
+    ServiceDescription service =
+      ParseServiceFile(file.m_file, file.m_text, aFindings);
+    aChange.m_manifest.m_objects[service.m_name] = ObjectName(file.m_text);
+    aChange.m_contents.push_back(file.m_text);
+    aChange.m_services.push_back(std::move(service));
+  }
+}
+
 Expected<Change>
 BuildChange(const PublicationRequest& aRequest,
             const Base& aBase,
             const StoreCall& aStore,
             Findings& aFindings)
 {
+  const auto start = ReadStart(aRequest, aBase, aStore);
+  if (!start) {
+    return tl::unexpected(start.error());
+  }
   Change change;
-  for (const ServiceFileText& file : aRequest.m_files) {
-    ServiceDescription service =
-      ParseServiceFile(file.m_file, file.m_text, aFindings);
-    change.m_manifest.m_objects[service.m_name] = ObjectName(file.m_text);
-    change.m_contents.push_back(file.m_text);
-    change.m_services.push_back(std::move(service));
+  AddFiles(aRequest, change, aFindings);
+  for (const std::string& service : aRequest.m_removed) {
+    if (!start->m_objects.contains(service)) {
+      aFindings.push_back(
+        { { "--remove", 1, 1 },
+          fmt::format("service \"{}\" is not in force", service) });
+    }
   }
-  for (const auto& [service, object] : aBase.m_manifest.m_objects) {
+  for (const auto& [service, object] : start->m_objects) {
     const bool removed = std::find(aRequest.m_removed.begin(),
                                    aRequest.m_removed.end(),
                                    service) != aRequest.m_removed.end();
@@ -128,86 +198,222 @@
   return {};
 }
 
-std::string
-AuditText(const PublicationRequest& aRequest, const ConfigurationHead& aHead)
+PublicationRecord
+BuildRecord(const PublicationRequest& aRequest,
+            const Base& aBase,
+            const Change& aChange)
 {
-  Json::Value value(Json::objectValue);
-  value["kind"] = "publication";
-  value["generation"] = Json::UInt64(aHead.m_generation);
-  value["base"] = Json::UInt64(aHead.m_generation - 1);
-  value["operator"] = aHead.m_operator;
-  value["time"] = Json::Int64(aHead.m_time);
-  value["publication"] = aHead.m_publication;
-  for (const ServiceFileText& file : aRequest.m_files) {
-    value["files"].append(file.m_file);
+  PublicationRecord record;
+  record.m_base = aBase.m_head.m_generation;
+  record.m_head = { record.m_base + 1,
+                    ObjectName(EncodeManifest(aChange.m_manifest)),
+                    aRequest.m_publication,
+                    aRequest.m_operator,
+                    aRequest.m_time };
+  record.m_from = aRequest.m_from.value_or(0);
+  for (const auto& [service, object] : aChange.m_manifest.m_objects) {
+    const auto before = aBase.m_manifest.m_objects.find(service);
+    if (before == aBase.m_manifest.m_objects.end() ||
+        before->second != object) {
+      record.m_changed.push_back(service);
+    }
   }
-  for (const std::string& service : aRequest.m_removed) {
-    value["removed"].append(service);
+  for (const auto& [service, object] : aBase.m_manifest.m_objects) {
+    if (!aChange.m_manifest.m_objects.contains(service)) {
+      record.m_removed.push_back(service);
+    }
   }
-  return WriteJson(value);
+  return record;
 }
 
-PublicationResult
-Commit(const PublicationRequest& aRequest,
-       const Base& aBase,
-       const Change& aChange,
+/* What became of a transaction. */
+enum class CommitResult : std::uint8_t
+{
+  Committed,
+  /* Another publication has the generation. */
+  Lost,
+  Unknown
+};
+
+/* Writes the head and the audit row. When the answer is lost, the audit row of
+   the generation says whose it is; a repeat is harmless, since the transaction
+   holds only on the base. */
+CommitResult
+Commit(const PublicationRecord& aRecord,
+       RowVersion aVersion,
        const StoreCall& aStore)
 {
-  const ConfigurationHead head{ aBase.m_head.m_generation + 1,
-                                ObjectName(EncodeManifest(aChange.m_manifest)),
-                                aRequest.m_publication,
-                                aRequest.m_operator,
-                                aRequest.m_time };
   TransactRequest transaction;
-  transaction.m_conditions = { { HeadRow(), aBase.m_version } };
-  transaction.m_writes = { { HeadRow(), EncodeHead(head) },
-                           { AuditRow(head.m_generation),
-                             AuditText(aRequest, head) } };
-  const StoreAnswer answer = aStore(transaction);
-  if (std::holds_alternative<Committed>(answer)) {
-    return Published{ head.m_generation };
-  }
-  const auto now = ReadBase(aStore);
-  if (!now) {
-    return PublicationUnsettled{ now.error().m_text };
-  }
-  if (now->m_head.m_publication == aRequest.m_publication) {
-    return Published{ now->m_head.m_generation };
+  transaction.m_conditions = { { HeadRow(), aVersion } };
+  transaction.m_writes = { { HeadRow(), EncodeHead(aRecord.m_head) },
+                           { AuditRow(aRecord.m_head.m_generation),
+                             EncodeRecord(aRecord) } };
+  for (int attempt = 0; attempt < kCommitAttempts; ++attempt) {
+    if (std::holds_alternative<Committed>(aStore(transaction))) {
+      return CommitResult::Committed;
+    }
+    const auto written = ReadRecord(aStore, aRecord.m_head.m_generation);
+    if (written && *written) {
+      return (*written)->m_head.m_publication == aRecord.m_head.m_publication
+               ? CommitResult::Committed
+               : CommitResult::Lost;
+    }
   }
-  if (std::holds_alternative<ConditionFailed>(answer)) {
-    return PublicationConflict{ now->m_head };
+  return CommitResult::Unknown;
+}
+
+/* Looks for a publication among the newest audit rows. */
+Expected<std::optional<Generation>>
+FindPublication(const std::string& aPublication,
+                Generation aHead,
+                const StoreCall& aStore)
+{
+  const Generation first = aHead > kRepeatWindow ? aHead - kRepeatWindow : 0;
+  ScanRequest scan{ std::string(kAuditTable),
+                    AuditRow(first).m_key,
+                    kPageLimit,
+                    std::string(kPublicationKind) + '/' };
+  while (true) {
+    const auto page = Ask<RowPage>(aStore, scan);
+    if (!page) {
+      return tl::unexpected(page.error());
+    }
+    for (const Row& row : page->m_rows) {
+      const auto record = DecodeRecord(row.m_value);
+      if (record && record->m_head.m_publication == aPublication) {
+        return std::optional<Generation>(record->m_head.m_generation);
+      }
+      scan.m_after = row.m_key;
+    }
+    if (!page->m_more || page->m_rows.empty()) {
+      return std::optional<Generation>();
+    }
   }
-  return PublicationUnsettled{ "the platform did not answer" };
 }
 
+/* Whether somebody else changed, since the first base, a service that this
+   publication changes. */
+bool
+Overlaps(const PublicationRecord& aRecord,
+         const Manifest& aFirst,
+         const Manifest& aNow)
+{
+  const auto differs = [&](const std::string& aService) {
+    const auto first = aFirst.m_objects.find(aService);
+    const auto now = aNow.m_objects.find(aService);
+    const bool inFirst = first != aFirst.m_objects.end();
+    const bool inNow = now != aNow.m_objects.end();
+    return inFirst != inNow || (inFirst && first->second != now->second);
+  };
+  return std::any_of(
+           aRecord.m_changed.begin(), aRecord.m_changed.end(), differs) ||
+         std::any_of(
+           aRecord.m_removed.begin(), aRecord.m_removed.end(), differs);
 }
 
-PublicationResult
-Publish(const PublicationRequest& aRequest, const StoreCall& aStore)
+/* One try on one base; nothing when another publication took the generation. */
+std::optional<PublicationResult>
+PublishOn(const PublicationRequest& aRequest,
+          const Base& aBase,
+          const StoreCall& aStore,
+          PublicationRecord& aRecord)
 {
-  const auto base = ReadBase(aStore);
-  if (!base) {
-    return PublicationUnsettled{ base.error().m_text };
-  }
-  if (aRequest.m_base && *aRequest.m_base != base->m_head.m_generation) {
-    return PublicationConflict{ base->m_head };
-  }
   Findings findings;
-  const auto change = BuildChange(aRequest, *base, aStore, findings);
+  const auto change = BuildChange(aRequest, aBase, aStore, findings);
   if (!change) {
     return PublicationUnsettled{ change.error().m_text };
   }
   if (findings.empty()) {
     BuildConfiguration(
-      base->m_head.m_generation + 1, change->m_services, findings);
+      aBase.m_head.m_generation + 1, change->m_services, findings);
   }
   if (!findings.empty()) {
     return PublicationRejected{ std::move(findings) };
   }
+  aRecord = BuildRecord(aRequest, aBase, *change);
+  if (aRequest.m_dryRun) {
+    return PublicationChecked{ aRecord.m_base,
+                               aRecord.m_changed,
+                               aRecord.m_removed };
+  }
   if (const auto stored = StoreObjects(*change, aStore); !stored) {
     return PublicationUnsettled{ stored.error().m_text };
   }
-  return Commit(aRequest, *base, *change, aStore);
+  switch (Commit(aRecord, aBase.m_version, aStore)) {
+    case CommitResult::Committed:
+      return Published{ aRecord.m_head.m_generation };
+    case CommitResult::Unknown:
+      return PublicationUnsettled{ "the platform did not answer" };
+    case CommitResult::Lost:
+      break;
+  }
+  return std::nullopt;
+}
+
+/* Tries on one base after the other, as long as the others' changes are to
+   other services. */
+PublicationResult
+PublishOnNewest(const PublicationRequest& aRequest,
+                Base aBase,
+                const StoreCall& aStore)
+{
+  const Manifest first = aBase.m_manifest;
+  for (int attempt = 0; attempt < kBaseAttempts; ++attempt) {
+    PublicationRecord record;
+    if (auto result = PublishOn(aRequest, aBase, aStore, record)) {
+      return std::move(*result);
+    }
+    auto next = ReadBase(aStore);
+    if (!next) {
+      return PublicationUnsettled{ next.error().m_text };
+    }
+    aBase = std::move(*next);
+    if (aRequest.m_base || aRequest.m_from ||
+        Overlaps(record, first, aBase.m_manifest)) {
+      break;
+    }
+  }
+  return PublicationConflict{ aBase.m_head };
+}
+
+}
+
+Findings
+CheckFiles(std::span<const ServiceFileText> aFiles)
+{
+  Findings findings;
+  std::vector<ServiceDescription> services;
+  services.reserve(aFiles.size());
+  for (const ServiceFileText& file : aFiles) {
+    services.push_back(ParseServiceFile(file.m_file, file.m_text, findings));
+  }
+  if (findings.empty()) {
+    BuildConfiguration(1, services, findings);
+  }
+  return findings;
+}
+
+PublicationResult
+Publish(const PublicationRequest& aRequest, const StoreCall& aStore)
+{
+  auto base = ReadBase(aStore);
+  if (!base) {
+    return PublicationUnsettled{ base.error().m_text };
+  }
+  if (aRequest.m_isRepeat) {
+    const auto earlier = FindPublication(
+      aRequest.m_publication, base->m_head.m_generation, aStore);
+    if (!earlier) {
+      return PublicationUnsettled{ earlier.error().m_text };
+    }
+    if (*earlier) {
+      return Published{ **earlier };
+    }
+  }
+  if (aRequest.m_base && *aRequest.m_base != base->m_head.m_generation) {
+    return PublicationConflict{ base->m_head };
+  }
+  return PublishOnNewest(aRequest, std::move(*base), aStore);
 }
 
 }
--- a/modules/cr_configuration/publish/cr_Publisher.h
+++ b/modules/cr_configuration/publish/cr_Publisher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <span>
 #include <string>
 #include <vector>
@@ -21,13 +22,22 @@
   std::vector<ServiceFileText> m_files;
   /** Services to take out of force. */
   std::vector<std::string> m_removed;
+  /** Publish the whole content of this older generation again, instead of
+      files. */
+  std::optional<Generation> m_from;
   std::string m_operator;
   /** Unique for this publication; its reuse makes a repeat idempotent. */
   std::string m_publication;
   WallMilliseconds m_time = 0;
   /** The generation that the operator saw; a newer one in force is a conflict.
-      Without it the head found is the base. */
+      Without it the head found is the base, and when another publication comes
+      in between, this one is built anew on it, unless both change one service.
+   */
   std::optional<Generation> m_base;
+  /** The publication may have taken effect before; look for it first. */
+  bool m_isRepeat = false;
+  /** Check only; nothing is written. */
+  bool m_dryRun = false;
 };
 
 /** The publication is in force. */
@@ -36,6 +46,14 @@
   Generation m_generation = 0;
 };
 
+/** A dry run found nothing wrong; nothing changed. */
+struct PublicationChecked
+{
+  Generation m_base = 0;
+  std::vector<std::string> m_changed;
+  std::vector<std::string> m_removed;
+};
+
 /** The files are at fault; nothing changed. */
 struct PublicationRejected
 {
@@ -57,12 +75,19 @@
 
 /** How a publication ended. */
 using PublicationResult = std::variant<Published,
+                                       PublicationChecked,
                                        PublicationRejected,
                                        PublicationConflict,
                                        PublicationUnsettled>;
 
+/** Checks files together, as if nothing else were in force. Thread safe. */
+Findings
+CheckFiles(std::span<const ServiceFileText> aFiles);
+
 /** Checks the files together with the services already in force and publishes
-    them as the next generation, with its audit row, in one transaction.
+    them as the next generation, with its audit row, in one transaction. A lost
+    answer is settled by the audit row of the generation that would have been
+    written, also when others published since.
 
     Blocks while the platform answers. Thread safe if the store call is. */
 PublicationResult
--- a/programs/corianderrack-publish/main.cpp
+++ b/programs/corianderrack-publish/main.cpp
@@ -5,6 +5,7 @@
 #include <random>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include "cr_command/cr_command.h"
 #include "cr_configuration/cr_configuration.h"
@@ -24,6 +25,18 @@
       { "operator", 'o', "Who publishes, for the audit trail", "NAME" },
       { "base", 'b', "Refuse if another generation is in force", "NUMBER" },
       { "remove", 'r', "Take a service out of force", "SERVICE" },
+      { "from-generation",
+        'f',
+        "Publish the whole content of an older generation again",
+        "NUMBER" },
+      { "check",
+        'c',
+        "Check the files as the whole configuration; needs no platform",
+        "" },
+      { "dry-run",
+        'd',
+        "Check the files over what is in force; write nothing",
+        "" },
       { "publication",
         'i',
         "Identifier of an earlier, unsettled publication to repeat",
@@ -51,40 +64,68 @@
   return cr::ToHexadecimal(high, word());
 }
 
-cr::Expected<cr::PublicationRequest>
-BuildRequest(const cr::Command& aCommand)
+std::optional<cr::Generation>
+ReadGeneration(const cr::Command& aCommand,
+               const std::string& aOption,
+               cr::Findings& aFindings)
 {
-  cr::PublicationRequest request;
+  if (!aCommand.Has(aOption)) {
+    return std::nullopt;
+  }
+  const std::string text = aCommand.Value(aOption);
+  cr::Generation generation = 0;
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, generation);
+  if (result.ec != std::errc() || result.ptr != end) {
+    aFindings.push_back(
+      { { "--" + aOption, 1, 1 }, "\"" + text + "\" is not a whole number" });
+  }
+  return generation;
+}
+
+std::vector<cr::ServiceFileText>
+ReadFiles(const cr::Command& aCommand, cr::Findings& aFindings)
+{
+  std::vector<cr::ServiceFileText> files;
   for (const std::string& file : aCommand.m_operands) {
     auto text = cr::ReadTextFile(file);
-    if (!text) {
-      return tl::unexpected(text.error());
+    if (text) {
+      files.push_back({ file, std::move(*text) });
+    } else {
+      aFindings.push_back({ { file, 1, 1 }, text.error().m_text });
     }
-    request.m_files.push_back({ file, std::move(*text) });
   }
+  return files;
+}
+
+cr::PublicationRequest
+BuildRequest(const cr::Command& aCommand, cr::Findings& aFindings)
+{
+  cr::PublicationRequest request;
+  request.m_files = ReadFiles(aCommand, aFindings);
   const auto removed = aCommand.m_values.find("remove");
   if (removed != aCommand.m_values.end()) {
     request.m_removed = removed->second;
   }
   request.m_operator = aCommand.Value("operator");
-  request.m_publication = aCommand.Has("publication")
-                            ? aCommand.Value("publication")
-                            : NewPublicationId();
+  request.m_isRepeat = aCommand.Has("publication");
+  request.m_publication =
+    request.m_isRepeat ? aCommand.Value("publication") : NewPublicationId();
   request.m_time = cr::IoThreads::WallNow();
-  if (aCommand.Has("base")) {
-    const std::string text = aCommand.Value("base");
-    cr::Generation base = 0;
-    const char* end = text.data() + text.size();
-    const auto result = std::from_chars(text.data(), end, base);
-    if (result.ec != std::errc() || result.ptr != end) {
-      return cr::Failure(cr::ErrorCode::Malformed,
-                         "--base must be a whole number");
-    }
-    request.m_base = base;
-  }
+  request.m_base = ReadGeneration(aCommand, "base", aFindings);
+  request.m_from = ReadGeneration(aCommand, "from-generation", aFindings);
+  request.m_dryRun = aCommand.Has("dry-run");
   return request;
 }
 
+int
+PrintFindings(const cr::Findings& aFindings)
+{
+  fmt::print(stderr, "{}", cr::ToText(aFindings));
+  return Fail(cr::kExitUsage,
+              fmt::format("{} findings; nothing changed", aFindings.size()));
+}
+
 struct ResultPrinter
 {
   const cr::PublicationRequest& m_request;
@@ -94,12 +135,20 @@
     fmt::print("generation {} is accepted\n", aResult.m_generation);
     return cr::kExitOk;
   }
+  int operator()(const cr::PublicationChecked& aResult) const
+  {
+    fmt::print("on generation {}: {} changed [{}], {} removed [{}]; nothing "
+               "is written\n",
+               aResult.m_base,
+               aResult.m_changed.size(),
+               fmt::join(aResult.m_changed, ", "),
+               aResult.m_removed.size(),
+               fmt::join(aResult.m_removed, ", "));
+    return cr::kExitOk;
+  }
   int operator()(const cr::PublicationRejected& aResult) const
   {
-    fmt::print(stderr, "{}", cr::ToText(aResult.m_findings));
-    return Fail(
-      cr::kExitUsage,
-      fmt::format("{} findings; nothing changed", aResult.m_findings.size()));
+    return PrintFindings(aResult.m_findings);
   }
   int operator()(const cr::PublicationConflict& aResult) const
   {
@@ -118,6 +167,44 @@
   }
 };
 
+int
+CheckOnly(const cr::Command& aCommand)
+{
+  cr::Findings findings;
+  const auto files = ReadFiles(aCommand, findings);
+  for (const cr::Finding& finding : cr::CheckFiles(files)) {
+    findings.push_back(finding);
+  }
+  if (!findings.empty()) {
+    return PrintFindings(findings);
+  }
+  fmt::print("{} files are in order\n", files.size());
+  return cr::kExitOk;
+}
+
+/* Returns what is wrong with the command line; empty when nothing is. */
+std::string
+CheckOptions(const cr::Command& aCommand)
+{
+  const bool hasFiles = !aCommand.m_operands.empty();
+  if (aCommand.Has("check")) {
+    return hasFiles ? "" : "--check needs service files";
+  }
+  const bool hasFrom = aCommand.Has("from-generation");
+  if (hasFrom && (hasFiles || aCommand.Has("remove"))) {
+    return "--from-generation takes neither files nor --remove";
+  }
+  if (!hasFiles && !hasFrom && !aCommand.Has("remove")) {
+    return "service files, --remove or --from-generation are needed";
+  }
+  if (!aCommand.Has("platform")) {
+    return "--platform is needed";
+  }
+  const bool writes = !aCommand.Has("dry-run");
+  return writes && aCommand.Value("operator").empty() ? "--operator is needed"
+                                                      : "";
+}
+
 }
 
 int
@@ -128,25 +215,27 @@
   if (!command) {
     return Fail(cr::kExitUsage, command.error().m_text);
   }
-  const bool hasWork = !command->m_operands.empty() || command->Has("remove");
-  if (!command->Has("platform") || !command->Has("operator") || !hasWork) {
-    return Fail(cr::kExitUsage,
-                "--platform, --operator and service files are needed");
+  if (const std::string wrong = CheckOptions(*command); !wrong.empty()) {
+    return Fail(cr::kExitUsage, wrong);
+  }
+  if (command->Has("check")) {
+    return CheckOnly(*command);
   }
+  cr::Findings findings;
+  const cr::PublicationRequest request = BuildRequest(*command, findings);
   const auto platform = cr::ParseEndpointText(command->Value("platform"));
   if (!platform) {
-    return Fail(cr::kExitUsage, platform.error().m_text);
+    findings.push_back({ { "--platform", 1, 1 }, platform.error().m_text });
   }
-  const auto request = BuildRequest(*command);
-  if (!request) {
-    return Fail(cr::kExitUsage, request.error().m_text);
+  if (!findings.empty()) {
+    return PrintFindings(findings);
   }
   cr::IoThreads threads(1);
   cr::HttpClient client(threads, {});
   cr::StoreConnection store(client, *platform, kStoreTimeout);
   const cr::PublicationResult result =
-    cr::Publish(*request, [&store](const cr::StoreRequest& aRequest) {
+    cr::Publish(request, [&store](const cr::StoreRequest& aRequest) {
       return store.SendAndWait(aRequest);
     });
-  return std::visit(ResultPrinter{ *request }, result);
+  return std::visit(ResultPrinter{ request }, result);
 }
