Answer late withdrawals truly after attempts were forgotten

Cause: the gate forgot ended attempts and tombstones beyond 65,536 entries and then answered a withdrawal with "not run" though the attempt had run. Change: AttemptMemory keeps the greatest forgotten number of each sender's lane; attempts up to it are answered "unknown" and a late arrival is not handed over. Conclusion: "not run" is only said of attempts that never ran, at any load.

--- a/modules/cr_admission/cr_admission.h
+++ b/modules/cr_admission/cr_admission.h
@@ -4,3 +4,4 @@
     refused. Pure: time comes in, decisions go out. */
 
 #include "cr_admission/gate/cr_Gate.h"
+#include "cr_admission/outcome/cr_AttemptMemory.h"
--- a/modules/cr_node/flow/cr_GateFlow.cpp
+++ b/modules/cr_node/flow/cr_GateFlow.cpp
@@ -7,36 +7,29 @@
 namespace {
 
 constexpr Duration kServerLapse = Seconds(3);
-constexpr std::size_t kTombstoneLimit = 65536;
-constexpr std::size_t kEndedLimit = 65536;
-
-void
-Remember(std::unordered_set<AttemptId>& aSet,
-         std::deque<AttemptId>& aOrder,
-         std::size_t aLimit,
-         const AttemptId& aAttempt)
-{
-  if (!aSet.insert(aAttempt).second) {
-    return;
-  }
-  aOrder.push_back(aAttempt);
-  if (aOrder.size() > aLimit) {
-    aSet.erase(aOrder.front());
-    aOrder.pop_front();
-  }
-}
+constexpr std::size_t kAttemptLimit = 262144;
+constexpr std::size_t kLaneLimit = 65536;
+/* Time that a sender has, after its deadline, to settle an attempt. */
+constexpr Duration kSettleTime = Seconds(10);
+/* Longest patience that a service file may state. */
+constexpr Duration kGreatestPatience = Seconds(600);
 
 }
 
 GateFlow::GateFlow(NodeShared& aShared)
   : m_shared(aShared)
   , m_random(Hash("gate", aShared.m_identity.m_seed))
+  , m_memory(kAttemptLimit, kLaneLimit)
 {
 }
 
 void
 GateFlow::Handle(const PeerCall& aEvent, Moment aMoment, FlowOutput& aOutput)
 {
+  m_memory.Advance(aMoment.m_now);
+  if (RefuseKnown(aEvent, aOutput)) {
+    return;
+  }
   Call call;
   call.m_attempt = aEvent.m_attempt;
   call.m_header = aEvent.m_header;
@@ -45,10 +38,6 @@
   call.m_ledger = AttemptLedger(
     aEvent.m_header.m_grant > 0 ? aEvent.m_header.m_grant - 1 : 0);
   m_calls.emplace(aEvent.m_call, std::move(call));
-  if (m_tombstones.contains(aEvent.m_attempt)) {
-    Refuse(aEvent.m_call, Reason::Withdrawn, aOutput);
-    return;
-  }
   if (IsKeyed(aEvent.m_header) && !AdmitKeyed(aEvent, aMoment, aOutput)) {
     return;
   }
@@ -89,7 +78,6 @@
     return;
   }
   m_gate.Withdraw(aEvent.m_call);
-  Bury(call->second.m_attempt);
   Refuse(aEvent.m_call, Reason::CallerGone, aOutput);
   GateDecisions decisions;
   m_gate.Advance(aMoment.m_now, decisions);
@@ -98,7 +86,7 @@
 
 void
 GateFlow::Handle(const WithdrawAsked& aEvent,
-                 Moment /*aMoment*/,
+                 Moment aMoment,
                  FlowOutput& aOutput)
 {
   AnswerWithdraw answer{ aEvent.m_call, WithdrawResult::Unknown };
@@ -109,16 +97,12 @@
     const CallId id = attempt->second;
     if (m_gate.Withdraw(id)) {
       Refuse(id, Reason::Withdrawn, aOutput);
-      Bury(aEvent.m_attempt);
       answer.m_result = WithdrawResult::NotRun;
     } else {
       answer.m_result = WithdrawResult::Ran;
     }
-  } else if (m_ended.contains(aEvent.m_attempt)) {
-    answer.m_result = WithdrawResult::Ran;
   } else {
-    Bury(aEvent.m_attempt);
-    answer.m_result = WithdrawResult::NotRun;
+    answer.m_result = SettleAbsent(aEvent.m_attempt, aMoment.m_now);
   }
   aOutput.m_actions.emplace_back(answer);
 }
@@ -289,9 +273,6 @@
   report.m_generation = m_shared.m_configuration.Current()->m_generation;
   aOutput.m_actions.emplace_back(
     AnswerCall{ aId, call.m_header.m_request, report, std::move(aPayload) });
-  if (call.m_handedOver) {
-    Remember(m_ended, m_endedOrder, kEndedLimit, call.m_attempt);
-  }
   Forget(aId);
 }
 
@@ -318,15 +299,51 @@
 GateFlow::Forget(CallId aCall)
 {
   const auto call = m_calls.find(aCall);
+  m_memory.Remember(call->second.m_attempt,
+                    call->second.m_handedOver ? AttemptFate::HandedOver
+                                              : AttemptFate::Withdrawn,
+                    call->second.m_deadline + kSettleTime);
   m_attempts.erase(call->second.m_attempt);
   m_tokens.erase(call->second.m_token);
   m_calls.erase(call);
 }
 
-void
-GateFlow::Bury(const AttemptId& aAttempt)
+bool
+GateFlow::RefuseKnown(const PeerCall& aEvent, FlowOutput& aOutput)
+{
+  const AttemptFate fate = m_memory.Find(aEvent.m_attempt);
+  const bool isHere = m_attempts.contains(aEvent.m_attempt);
+  if (fate == AttemptFate::NeverArrived && !isHere) {
+    return false;
+  }
+  CallReport report;
+  report.m_outcome = fate == AttemptFate::Withdrawn && !isHere
+                       ? Outcome::NotRun
+                       : Outcome::Unknown;
+  report.m_reason = Reason::Withdrawn;
+  report.m_level = m_gate.Level();
+  report.m_generation = m_shared.m_configuration.Current()->m_generation;
+  aOutput.m_actions.emplace_back(
+    AnswerCall{ aEvent.m_call, aEvent.m_header.m_request, report, nullptr });
+  return true;
+}
+
+WithdrawResult
+GateFlow::SettleAbsent(const AttemptId& aAttempt, Instant aNow)
 {
-  Remember(m_tombstones, m_tombstoneOrder, kTombstoneLimit, aAttempt);
+  switch (m_memory.Find(aAttempt)) {
+    case AttemptFate::HandedOver:
+      return WithdrawResult::Ran;
+    case AttemptFate::Forgotten:
+      return WithdrawResult::Unknown;
+    case AttemptFate::Withdrawn:
+      return WithdrawResult::NotRun;
+    case AttemptFate::NeverArrived:
+      break;
+  }
+  m_memory.Remember(
+    aAttempt, AttemptFate::Withdrawn, aNow + kGreatestPatience + kSettleTime);
+  return WithdrawResult::NotRun;
 }
 
 GateToken
--- a/modules/cr_node/flow/cr_GateFlow.h
+++ b/modules/cr_node/flow/cr_GateFlow.h
@@ -1,9 +1,7 @@
 #pragma once
 
-#include <deque>
 #include <optional>
 #include <unordered_map>
-#include <unordered_set>
 
 #include "cr_admission/cr_admission.h"
 #include "cr_membership/cr_membership.h"
@@ -117,6 +115,8 @@
   /* The caller of a keyed call is gone. Returns whether the call goes on, for a
      resend. */
   bool LeaveRunning(CallId aCall);
+  WithdrawResult SettleAbsent(const AttemptId& aAttempt, Instant aNow);
+  bool RefuseKnown(const PeerCall& aEvent, FlowOutput& aOutput);
   void HandOverCall(CallId aCall, Moment aMoment, FlowOutput& aOutput);
   void Answer(CallId aId,
               const CallReport& aReport,
@@ -125,7 +125,6 @@
   void Refuse(CallId aCall, Reason aReason, FlowOutput& aOutput);
   void CloseServer(ServerState aState, Reason aReason, FlowOutput& aOutput);
   void Forget(CallId aCall);
-  void Bury(const AttemptId& aAttempt);
   GateToken NextToken();
 
   NodeShared& m_shared;
@@ -137,12 +136,8 @@
   std::unordered_map<CallId, Call> m_calls;
   std::unordered_map<AttemptId, CallId> m_attempts;
   std::unordered_map<GateToken, CallId> m_tokens;
-  /** Withdrawn attempts; a late arrival of one is refused. */
-  std::unordered_set<AttemptId> m_tombstones;
-  /** Ended attempts, to answer late withdrawals. */
-  std::unordered_set<AttemptId> m_ended;
-  std::deque<AttemptId> m_tombstoneOrder;
-  std::deque<AttemptId> m_endedOrder;
+  /** Attempts that were handed over or withdrawn and are not here now. */
+  AttemptMemory m_memory;
 };
 
 }
