--- a/modules/cr_admission/gate/cr_Gate.cpp
+++ b/modules/cr_admission/gate/cr_Gate.cpp
@@ -7,22 +7,31 @@
 
 namespace {
 
-constexpr std::size_t kWaitingPerSlot = 4;
-constexpr unsigned kCohortShift = 56;
+constexpr std::size_t kWaitingPerSlot = 2;
+/* Without an adaptive limit, calls go in up to the server's connections, of
+   which there are about this many for each slot. */
+constexpr std::uint32_t kConnectionsPerSlot = 10;
+constexpr std::uint32_t kReserveDivisor = 4;
+constexpr Duration kStandingTime = Milliseconds(100);
 
 }
 
-std::uint8_t
-CohortOf(const RequestId& aRequest)
+Gate::Gate(const PolicySwitches& aPolicy)
+  : m_policy(aPolicy)
 {
-  return static_cast<std::uint8_t>(Hash(aRequest.m_high, aRequest.m_low) >>
-                                   kCohortShift);
 }
 
 void
 Gate::Open(std::uint32_t aSlots, Instant aNow, GateDecisions& aDecisions)
 {
   assert(aSlots > 0);
+  if (IsOpen()) {
+    m_limit.SetSlots(aSlots);
+  } else {
+    m_limit.Restart(aSlots);
+    m_threshold.Reset();
+    m_lastEmpty = aNow;
+  }
   m_slots = aSlots;
   Fill(aNow, aDecisions);
 }
@@ -31,105 +40,202 @@
 Gate::Close(Reason aReason, GateDecisions& aDecisions)
 {
   m_slots = 0;
-  for (const auto& [order, call] : m_waiting) {
-    aDecisions.emplace_back(GateRefusal{ call.m_call, aReason });
+  for (WaitingQueue* queue : { &m_leaves, &m_parents }) {
+    while (const GateCall* call = queue->FirstDue()) {
+      Refuse(GateCall(*call), aReason, aDecisions);
+    }
   }
-  m_waiting.clear();
-  m_orders.clear();
 }
 
 void
 Gate::Offer(const GateCall& aCall, Instant aNow, GateDecisions& aDecisions)
 {
   assert(!m_running.contains(aCall.m_call));
-  assert(!m_orders.contains(aCall.m_call));
   if (!IsOpen()) {
     aDecisions.emplace_back(GateRefusal{ aCall.m_call, Reason::NoServer });
     return;
   }
-  const Order order{ RankOf(aCall.m_importance, CohortOf(aCall.m_request)),
-                     aCall.m_begun,
-                     ++m_arrivals };
-  m_waiting.emplace(order, aCall);
-  m_orders.emplace(aCall.m_call, order);
+  m_threshold.CountArrival(
+    RankOf(aCall.m_importance, CohortOf(aCall.m_request)));
+  QueueOf(aCall).Add(OrderOf(aCall), aCall);
   Fill(aNow, aDecisions);
-  EvictBeyondLimit(aDecisions);
+  EvictBeyondLimit(aNow, aDecisions);
+  m_threshold.Advance(Waiting(), WaitingLimit(), aNow);
 }
 
 void
-Gate::Finish(CallId aCall, Instant aNow, GateDecisions& aDecisions)
+Gate::Finish(const GateFinish& aFinish, Instant aNow, GateDecisions& aDecisions)
 {
-  m_running.erase(aCall);
+  const auto run = m_running.find(aFinish.m_call);
+  if (run == m_running.end()) {
+    return;
+  }
+  const Duration time = aNow - run->second.m_started;
+  if (aFinish.m_answered) {
+    m_times.Learn(run->second.m_operation, time);
+    m_limit.Learn(run->second.m_operation, time - aFinish.m_childTime);
+  }
+  m_parentsRunning -= run->second.m_isParent ? 1U : 0U;
+  m_running.erase(run);
   Fill(aNow, aDecisions);
+  m_threshold.Advance(Waiting(), WaitingLimit(), aNow);
 }
 
 bool
 Gate::Withdraw(CallId aCall)
 {
-  const auto order = m_orders.find(aCall);
-  if (order == m_orders.end()) {
-    return false;
-  }
-  m_waiting.erase(order->second);
-  m_orders.erase(order);
-  return true;
+  return m_leaves.Remove(aCall) || m_parents.Remove(aCall);
 }
 
 void
 Gate::Advance(Instant aNow, GateDecisions& aDecisions)
 {
-  for (auto call = m_waiting.begin(); call != m_waiting.end();) {
-    if (call->second.m_deadline > aNow) {
-      ++call;
-      continue;
+  for (WaitingQueue* queue : { &m_leaves, &m_parents }) {
+    const GateCall* call = queue->FirstDue();
+    while (call != nullptr && call->m_deadline <= aNow) {
+      Refuse(GateCall(*call), Reason::DeadlineTooShort, aDecisions);
+      call = queue->FirstDue();
     }
-    aDecisions.emplace_back(
-      GateRefusal{ call->second.m_call, Reason::DeadlineTooShort });
-    m_orders.erase(call->second.m_call);
-    call = m_waiting.erase(call);
+  }
+  if (Waiting() == 0) {
+    m_lastEmpty = aNow;
   }
 }
 
-AdmissionLevel
-Gate::Level() const
+std::uint32_t
+Gate::Limit() const
 {
-  const bool full = m_waiting.size() >= kWaitingPerSlot * m_slots;
-  return full && !m_waiting.empty() ? m_waiting.begin()->first.m_rank : 0;
+  return m_policy.m_adaptiveLimit ? m_limit.Limit()
+                                  : m_slots * kConnectionsPerSlot;
 }
 
 std::optional<Instant>
 Gate::NextDue() const
 {
   std::optional<Instant> due;
-  for (const auto& [order, call] : m_waiting) {
-    due = due ? std::min(*due, call.m_deadline) : call.m_deadline;
+  for (const WaitingQueue* queue : { &m_leaves, &m_parents }) {
+    if (const GateCall* call = queue->FirstDue()) {
+      due = due ? std::min(*due, call->m_deadline) : call->m_deadline;
+    }
   }
   return due;
 }
 
+//==============================================================================
+WaitingQueue&
+Gate::QueueOf(const GateCall& aCall)
+{
+  return aCall.m_needsOwnService ? m_parents : m_leaves;
+}
+
+WaitingOrder
+Gate::OrderOf(const GateCall& aCall)
+{
+  return { m_policy.m_importance ? aCall.m_importance : Importance::Low,
+           m_policy.m_begunFirst ? aCall.m_depth : 0,
+           m_policy.m_cohorts ? CohortOf(aCall.m_request) : std::uint8_t{ 0 },
+           ++m_arrivals };
+}
+
+std::size_t
+Gate::WaitingLimit() const
+{
+  return m_policy.m_adaptiveLimit
+           ? kWaitingPerSlot * std::size_t{ m_slots }
+           : kConnectionsPerSlot * std::size_t{ m_slots };
+}
+
+std::uint32_t
+Gate::ParentLimit() const
+{
+  const std::uint32_t limit = Limit();
+  if (!m_policy.m_adaptiveLimit) {
+    return limit;
+  }
+  const std::uint32_t reserve = std::max(1U, limit / kReserveDivisor);
+  return std::max(1U, limit - std::min(reserve, limit));
+}
+
+bool
+Gate::IsNewestFirst(Instant aNow) const
+{
+  return m_policy.m_newestFirst && aNow - m_lastEmpty >= kStandingTime;
+}
+
+const GateCall*
+Gate::BestWaiting(Instant aNow) const
+{
+  const bool newest = IsNewestFirst(aNow);
+  const auto leaf = m_leaves.Best(newest);
+  const auto parent = m_parentsRunning < ParentLimit()
+                        ? m_parents.Best(newest)
+                        : std::optional<WaitingOrder>();
+  if (leaf && (!parent || *leaf > *parent)) {
+    return &m_leaves.At(*leaf);
+  }
+  return parent ? &m_parents.At(*parent) : nullptr;
+}
+
+const GateCall*
+Gate::WorstWaiting(Instant aNow) const
+{
+  const bool newest = IsNewestFirst(aNow);
+  const auto leaf = m_leaves.Worst(newest);
+  const auto parent = m_parents.Worst(newest);
+  if (leaf && (!parent || *leaf < *parent)) {
+    return &m_leaves.At(*leaf);
+  }
+  return parent ? &m_parents.At(*parent) : nullptr;
+}
+
 void
 Gate::Fill(Instant aNow, GateDecisions& aDecisions)
 {
   Advance(aNow, aDecisions);
-  while (m_running.size() < m_slots && !m_waiting.empty()) {
-    const auto best = std::prev(m_waiting.end());
-    aDecisions.emplace_back(GateHandOver{ best->second.m_call });
-    m_running.emplace(best->second.m_call, best->second.m_importance);
-    m_orders.erase(best->second.m_call);
-    m_waiting.erase(best);
+  while (m_running.size() < Limit()) {
+    const GateCall* best = BestWaiting(aNow);
+    if (best == nullptr) {
+      return;
+    }
+    const GateCall call = *best;
+    const bool isLate =
+      call.m_deadline - aNow < m_times.Expected(call.m_operation);
+    if (m_policy.m_deadlineDrop && isLate) {
+      m_times.Doubt(call.m_operation);
+      Refuse(call, Reason::DeadlineTooShort, aDecisions);
+    } else {
+      HandOver(call, aNow, aDecisions);
+    }
+  }
+  if (Waiting() > 0) {
+    m_limit.NoteReached();
   }
 }
 
 void
-Gate::EvictBeyondLimit(GateDecisions& aDecisions)
-{
-  while (m_waiting.size() > kWaitingPerSlot * m_slots) {
-    const auto worst = m_waiting.begin();
-    aDecisions.emplace_back(
-      GateRefusal{ worst->second.m_call, Reason::Evicted });
-    m_orders.erase(worst->second.m_call);
-    m_waiting.erase(worst);
+Gate::HandOver(const GateCall& aCall, Instant aNow, GateDecisions& aDecisions)
+{
+  Withdraw(aCall.m_call);
+  m_running.emplace(aCall.m_call,
+                    Run{ aCall.m_operation, aNow, aCall.m_needsOwnService });
+  m_parentsRunning += aCall.m_needsOwnService ? 1U : 0U;
+  aDecisions.emplace_back(GateHandOver{ aCall.m_call });
+}
+
+void
+Gate::EvictBeyondLimit(Instant aNow, GateDecisions& aDecisions)
+{
+  while (Waiting() > WaitingLimit()) {
+    m_threshold.CountOverflow();
+    Refuse(GateCall(*WorstWaiting(aNow)), Reason::Evicted, aDecisions);
   }
 }
 
+void
+Gate::Refuse(const GateCall& aCall, Reason aReason, GateDecisions& aDecisions)
+{
+  Withdraw(aCall.m_call);
+  aDecisions.emplace_back(GateRefusal{ aCall.m_call, aReason });
+}
+
 }
--- a/modules/cr_admission/outcome/cr_AttemptMemory.cpp
+++ b/modules/cr_admission/outcome/cr_AttemptMemory.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cassert>
 
-
 namespace cr {
 
 namespace {
--- a/modules/cr_node/decisions/cr_NodeDecisions.cpp
+++ b/modules/cr_node/decisions/cr_NodeDecisions.cpp
@@ -111,14 +111,14 @@
   FlowOutput output;
   m_entries.at(ShardOf(static_cast<std::uint64_t>(aEvent.m_call)))
     ->With([&](EntryFlow& aFlow) { aFlow.Start(aEvent, aMoment, output); });
-  Settle(std::move(output), aActions);
+  Settle(std::move(output), aMoment, aActions);
 }
 
 void
 NodeDecisions::Do(const ChildCall& aEvent, Moment aMoment, Actions& aActions)
 {
   const auto inheritance = m_gate.With([&](GateFlow& aFlow) {
-    return aFlow.Inherit(aEvent.m_parent, aEvent.m_operation);
+    return aFlow.Inherit(aEvent.m_parent, aEvent.m_operation, aMoment);
   });
   if (!inheritance) {
     CallReport report;
@@ -132,7 +132,7 @@
     ->With([&](EntryFlow& aFlow) {
       aFlow.Start(aEvent, *inheritance, aMoment, output);
     });
-  Settle(std::move(output), aActions);
+  Settle(std::move(output), aMoment, aActions);
 }
 
 void
@@ -142,7 +142,7 @@
   m_entries.at(ShardOf(static_cast<std::uint64_t>(aEvent.m_call)))
     ->With([&](EntryFlow& aFlow) { aFlow.Handle(aEvent, aMoment, output); });
   m_gate.With([&](GateFlow& aFlow) { aFlow.Handle(aEvent, aMoment, output); });
-  Settle(std::move(output), aActions);
+  Settle(std::move(output), aMoment, aActions);
 }
 
 void
@@ -237,7 +237,7 @@
   for (const auto& entry : m_entries) {
     entry->With([&](EntryFlow& aFlow) { aFlow.Advance(aMoment, output); });
   }
-  Settle(std::move(output), aActions);
+  Settle(std::move(output), aMoment, aActions);
   ShareServerState(aMoment, aActions);
   const std::size_t nodes = m_directory.With(
     [](const DirectoryFlow& aFlow) { return aFlow.View().Size(); });
@@ -272,7 +272,7 @@
     FlowOutput output;
     entry->With(
       [&](EntryFlow& aFlow) { aFlow.Resume(*service, aMoment, output); });
-    Settle(std::move(output), aActions);
+    Settle(std::move(output), aMoment, aActions);
   }
 }
 
@@ -286,7 +286,7 @@
   m_entries.at(ShardOf(aEvent.m_attempt.m_low))->With([&](EntryFlow& aFlow) {
     aFlow.Handle(aEvent, aMoment, output);
   });
-  Settle(std::move(output), aActions);
+  Settle(std::move(output), aMoment, aActions);
 }
 
 template<typename GateEvent>
@@ -297,16 +297,16 @@
 {
   FlowOutput output;
   m_gate.With([&](GateFlow& aFlow) { aFlow.Handle(aEvent, aMoment, output); });
-  Settle(std::move(output), aActions);
+  Settle(std::move(output), aMoment, aActions);
 }
 
 void
-NodeDecisions::Settle(FlowOutput&& aOutput, Actions& aActions)
+NodeDecisions::Settle(FlowOutput&& aOutput, Moment aMoment, Actions& aActions)
 {
   if (!aOutput.m_ended.empty()) {
     m_gate.With([&](GateFlow& aFlow) {
       for (const ChildEnded& ended : aOutput.m_ended) {
-        aFlow.TakeBack(ended);
+        aFlow.TakeBack(ended, aMoment);
       }
     });
   }
--- a/modules/cr_node/decisions/cr_NodeDecisions.h
+++ b/modules/cr_node/decisions/cr_NodeDecisions.h
@@ -86,7 +86,7 @@
   template<typename GateEvent>
   void DoAtGate(const GateEvent& aEvent, Moment aMoment, Actions& aActions);
 
-  void Settle(FlowOutput&& aOutput, Actions& aActions);
+  void Settle(FlowOutput&& aOutput, Moment aMoment, Actions& aActions);
   void NoticeGeneration(Generation aGeneration,
                         const std::optional<Endpoint>& aPeer,
                         Moment aMoment,
--- a/modules/cr_node/flow/cr_EntryFlow.cpp
+++ b/modules/cr_node/flow/cr_EntryFlow.cpp
@@ -9,7 +9,12 @@
 
 namespace {
 
-constexpr std::size_t kGreatestTries = 3;
+constexpr std::size_t kGreatestTries = 4;
+constexpr std::size_t kGreatestJoined = 8;
+constexpr std::size_t kRememberedTotals = 16384;
+/* Stands for no bound when attempts are not shared. */
+constexpr std::uint32_t kUnbounded = 1'000'000'000;
+constexpr unsigned kServerErrorStatus = 500;
 
 bool
 IsHelpedByAnotherHost(Reason aReason)
@@ -29,14 +34,16 @@
 }
 
 void
-Refuse(const CustomerCall& aCall, Reason aReason, FlowOutput& aOutput)
+Refuse(const CustomerCall& aCall,
+       Reason aReason,
+       FlowOutput& aOutput,
+       bool aIsKeyed = false)
 {
   CallReport report;
-  // A call with this key may have run before, so a suspect's outcome is
-  // unknown.
-  report.m_outcome = aCall.m_key && aReason == Reason::Suspect
-                       ? Outcome::Unknown
-                       : Outcome::NotRun;
+  // A call with this key may have run before, so its outcome is unknown.
+  const bool mayHaveRun =
+    aIsKeyed || (aCall.m_key && aReason == Reason::Suspect);
+  report.m_outcome = mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
   report.m_reason = aReason;
   aOutput.m_actions.emplace_back(
     AnswerCall{ aCall.m_call, aCall.m_request, report, nullptr });
@@ -47,12 +54,14 @@
 EntryFlow::EntryFlow(NodeShared& aShared, std::size_t aShard)
   : m_shared(aShared)
   , m_shard(aShard)
+  , m_totals(kRememberedTotals)
 {
 }
 
 void
 EntryFlow::Start(const CustomerCall& aCall, Moment aMoment, FlowOutput& aOutput)
 {
+  m_now = aMoment.m_now;
   if (IsSuspect(aCall.m_request, aMoment.m_now)) {
     Refuse(aCall, Reason::Suspect, aOutput);
     return;
@@ -68,6 +77,13 @@
     Refuse(aCall, Reason::KeyMissing, aOutput);
     return;
   }
+  if (Join(aCall, aOutput)) {
+    return;
+  }
+  if (IsRefusedEarly(aCall, operation->m_importance, aMoment.m_now)) {
+    Refuse(aCall, Reason::Overloaded, aOutput, !operation->m_idempotent);
+    return;
+  }
   const Duration patience = std::min(
     aCall.m_patience.value_or(operation->m_patience), operation->m_patience);
   Call call;
@@ -79,7 +95,13 @@
   SetKey(call, aCall.m_key);
   call.m_payload = aCall.m_payload;
   call.m_deadline = aMoment.m_now + patience;
-  call.m_ledger = AttemptLedger(configuration->AttemptTotal(aCall.m_operation));
+  call.m_ledger = AttemptLedger(
+    m_shared.m_policy.m_attemptTotal
+      ? m_totals.Left(aCall.m_request,
+                      configuration->AttemptTotal(aCall.m_operation),
+                      aMoment.m_now)
+      : kUnbounded);
+  m_requests.emplace(aCall.m_request, aCall.m_call);
   TryNext(m_calls.emplace(aCall.m_call, std::move(call)).first->second,
           aMoment,
           aOutput);
@@ -118,19 +140,20 @@
   }
   stored.m_idempotent = operation->m_idempotent;
   SetKey(stored, aCall.m_key);
+  stored.m_deadline =
+    std::min(stored.m_deadline, aMoment.m_now + operation->m_patience);
   TryNext(stored, aMoment, aOutput);
 }
 
 void
-EntryFlow::Handle(const CallerGone& aEvent,
-                  Moment /*aMoment*/,
-                  FlowOutput& aOutput)
+EntryFlow::Handle(const CallerGone& aEvent, Moment aMoment, FlowOutput& aOutput)
 {
+  m_now = aMoment.m_now;
   const auto call = m_calls.find(aEvent.m_call);
-  if (call == m_calls.end()) {
+  if (call == m_calls.end() || !call->second.m_joined.empty()) {
     return;
   }
-  if (call->second.m_attempt) {
+  if (call->second.m_attempt && m_shared.m_policy.m_cancellation) {
     aOutput.m_actions.emplace_back(
       CancelAttempt{ call->second.m_attempt->m_id });
   }
@@ -146,7 +169,11 @@
   if (call == nullptr) {
     return;
   }
+  m_now = aMoment.m_now;
   const CallReport& report = aEvent.m_report;
+  m_shared.m_levels.With([&](LevelTable& aTable) {
+    aTable.Learn(call->m_header.m_operation, report.m_level, m_now);
+  });
   AttemptResult result;
   result.m_answered = report.m_outcome == Outcome::Completed;
   result.m_refused = report.m_outcome == Outcome::NotRun;
@@ -154,6 +181,19 @@
   result.m_level = report.m_level;
   ReportAttempt(*call, result, aMoment.m_now);
   call->m_ledger.Return(report.m_unspent);
+  const bool isError = report.m_status >= kServerErrorStatus;
+  if (report.m_outcome == Outcome::Completed && !isError) {
+    m_shared.m_retryQuota.With([&](RetryQuota& aQuota) {
+      aQuota.CountSuccess(call->m_header.m_operation.m_service);
+    });
+  }
+  const bool naive = !m_shared.m_policy.m_attemptTotal;
+  if (report.m_outcome == Outcome::Completed && naive && isError &&
+      call->m_idempotent && call->m_tried.size() < kGreatestTries) {
+    call->m_lastReason = Reason::ServerFailed;
+    RetryOrEnd(*call, aMoment, aOutput);
+    return;
+  }
   if (report.m_outcome == Outcome::Completed) {
     End(*call, report, aEvent.m_payload, aOutput);
     return;
@@ -175,6 +215,7 @@
   if (call == nullptr) {
     return;
   }
+  m_now = aMoment.m_now;
   call->m_lastReason = Reason::ConnectionLost;
   if (aEvent.m_sent) {
     aOutput.m_actions.emplace_back(
@@ -196,6 +237,7 @@
   if (call == nullptr) {
     return;
   }
+  m_now = aMoment.m_now;
   ReportAttempt(*call, {}, aMoment.m_now);
   call->m_mayHaveRun |= aEvent.m_result != WithdrawResult::NotRun;
   RetryOrEnd(*call, aMoment, aOutput);
@@ -260,8 +302,11 @@
   }
   const Rank rank =
     RankOf(aCall.m_header.m_importance, CohortOf(aCall.m_header.m_request));
+  const auto excluded = m_shared.m_policy.m_attemptTotal
+                          ? std::span<const HostName>(aCall.m_tried)
+                          : std::span<const HostName>();
   return m_shared.m_routers.Choose(
-    aCall.m_header.m_operation.m_service, rank, aCall.m_tried, aNow);
+    aCall.m_header.m_operation.m_service, rank, excluded, aNow);
 }
 
 std::optional<RouteTarget>
@@ -286,7 +331,7 @@
   }
   if (!aCall.m_isKeyed) {
     return (aCall.m_idempotent || !aCall.m_mayHaveRun) &&
-           IsHelpedByAnotherHost(aCall.m_lastReason);
+           IsHelpedByAnotherHost(aCall.m_lastReason) && TakeRetry(aCall);
   }
   const std::string& service = aCall.m_header.m_operation.m_service;
   m_shared.m_owners.RequestRefresh(service);
@@ -359,6 +404,50 @@
   }
 }
 
+bool
+EntryFlow::TakeRetry(const Call& aCall)
+{
+  const bool hostIsClosed = aCall.m_lastReason == Reason::Leaving ||
+                            aCall.m_lastReason == Reason::NoServer;
+  if (hostIsClosed || !m_shared.m_policy.m_retryQuota) {
+    return true;
+  }
+  return m_shared.m_retryQuota.With([&](RetryQuota& aQuota) {
+    return aQuota.TakeRetry(aCall.m_header.m_operation.m_service);
+  });
+}
+
+bool
+EntryFlow::Join(const CustomerCall& aCall, FlowOutput& aOutput)
+{
+  const auto request = m_requests.find(aCall.m_request);
+  if (request == m_requests.end() || !m_shared.m_policy.m_attemptTotal) {
+    return false;
+  }
+  Call& live = m_calls.at(request->second);
+  const bool isSame = live.m_header.m_operation == aCall.m_operation &&
+                      (!live.m_isKeyed || live.m_header.m_key == aCall.m_key);
+  if (!isSame || live.m_joined.size() >= kGreatestJoined) {
+    Refuse(
+      aCall, isSame ? Reason::Overloaded : Reason::Malformed, aOutput, isSame);
+  } else {
+    live.m_joined.push_back(aCall.m_call);
+  }
+  return true;
+}
+
+bool
+EntryFlow::IsRefusedEarly(const CustomerCall& aCall,
+                          Importance aImportance,
+                          Instant aNow) const
+{
+  const Rank rank = RankOf(aImportance, CohortOf(aCall.m_request));
+  return m_shared.m_policy.m_levelFeedback &&
+         m_shared.m_levels.With([&](LevelTable& aTable) {
+           return aTable.ShouldRefuse(aCall.m_operation, rank, aNow);
+         });
+}
+
 void
 EntryFlow::EndUnanswered(Call& aCall, Reason aReason, FlowOutput& aOutput)
 {
@@ -379,11 +468,19 @@
   if (aCall.m_attempt) {
     m_attempts.erase(aCall.m_attempt->m_id);
   }
+  if (!aCall.m_parent) {
+    m_totals.Close(aCall.m_header.m_request, aCall.m_ledger.Available(), m_now);
+    m_requests.erase(aCall.m_header.m_request);
+  }
   if (aCall.m_parent) {
     aOutput.m_ended.push_back({ *aCall.m_parent, aCall.m_ledger.Available() });
   }
   CallReport report = aReport;
   report.m_unspent = aCall.m_ledger.Available();
+  for (const CallId joined : aCall.m_joined) {
+    aOutput.m_actions.emplace_back(
+      AnswerCall{ joined, aCall.m_header.m_request, report, aPayload });
+  }
   aOutput.m_actions.emplace_back(AnswerCall{
     aCall.m_id, aCall.m_header.m_request, report, std::move(aPayload) });
   m_calls.erase(aCall.m_id);
--- a/modules/cr_node/flow/cr_EntryFlow.h
+++ b/modules/cr_node/flow/cr_EntryFlow.h
@@ -92,6 +92,8 @@
   struct Call
   {
     CallId m_id{};
+    /** Resends of the same request that wait for the same answer. */
+    std::vector<CallId> m_joined;
     CallHeader m_header;
     bool m_idempotent = false;
     PayloadPointer m_payload;
@@ -115,10 +117,15 @@
   /* Keeps the key only when the call must run at most once, so that a gate can
      tell such calls by their key. */
   static void SetKey(Call& aCall, const std::optional<IdempotencyKey>& aKey);
+  bool Join(const CustomerCall& aCall, FlowOutput& aOutput);
+  bool IsRefusedEarly(const CustomerCall& aCall,
+                      Importance aImportance,
+                      Instant aNow) const;
   void TryNext(Call& aCall, Moment aMoment, FlowOutput& aOutput);
   std::optional<RouteTarget> Choose(const Call& aCall, Instant aNow);
   std::optional<RouteTarget> ChooseOwner(const Call& aCall);
   bool MayRetry(const Call& aCall);
+  bool TakeRetry(const Call& aCall);
   /* Lets the call wait for a fresh map of key owners; once for each call. */
   bool Park(Call& aCall);
   void RetryOrEnd(Call& aCall, Moment aMoment, FlowOutput& aOutput);
@@ -141,6 +148,11 @@
   std::unordered_map<AttemptId, CallId> m_attempts;
   /** Calls that wait for a fresh map of key owners. */
   std::vector<CallId> m_parked;
+  /** Customers' requests in progress. */
+  std::unordered_map<RequestId, CallId> m_requests;
+  RequestTotals m_totals;
+  /** Time of the latest event. */
+  Instant m_now;
 };
 
 }
--- a/modules/cr_node/flow/cr_GateFlow.cpp
+++ b/modules/cr_node/flow/cr_GateFlow.cpp
@@ -14,11 +14,29 @@
 /* Longest patience that a service file may state. */
 constexpr Duration kGreatestPatience = Seconds(600);
 
+/* Whether calls below the operation lead to the service. Published call graphs
+   have no cycles. */
+bool
+Reaches(const Configuration& aConfiguration,
+        const OperationName& aOperation,
+        const std::string& aService)
+{
+  const OperationDescription* operation = aConfiguration.Find(aOperation);
+  return operation != nullptr &&
+         std::any_of(operation->m_calls.begin(),
+                     operation->m_calls.end(),
+                     [&](const CalledOperation& aCalled) {
+                       return aCalled.m_name.m_service == aService ||
+                              Reaches(aConfiguration, aCalled.m_name, aService);
+                     });
+}
+
 }
 
 GateFlow::GateFlow(NodeShared& aShared)
   : m_shared(aShared)
   , m_random(Hash("gate", aShared.m_identity.m_seed))
+  , m_gate(aShared.m_policy)
   , m_memory(kAttemptLimit, kLaneLimit)
 {
 }
@@ -26,6 +44,7 @@
 void
 GateFlow::Handle(const PeerCall& aEvent, Moment aMoment, FlowOutput& aOutput)
 {
+  m_now = aMoment.m_now;
   m_memory.Advance(aMoment.m_now);
   if (RefuseKnown(aEvent, aOutput)) {
     return;
@@ -55,7 +74,8 @@
                  aEvent.m_header.m_request,
                  aEvent.m_header.m_operation,
                  aEvent.m_header.m_importance,
-                 aEvent.m_header.m_depth > 0,
+                 aEvent.m_header.m_depth,
+                 NeedsOwnService(aEvent.m_header.m_operation),
                  aMoment.m_now + aEvent.m_header.m_remaining },
                aMoment.m_now,
                decisions);
@@ -72,6 +92,9 @@
   if (call->second.m_keyed && LeaveRunning(aEvent.m_call)) {
     return;
   }
+  if (!m_shared.m_policy.m_cancellation) {
+    return;
+  }
   call->second.m_callerGone = true;
   if (call->second.m_handedOver) {
     aOutput.m_actions.emplace_back(CancelHandOver{ aEvent.m_call });
@@ -140,10 +163,7 @@
   report.m_outcome = Outcome::Completed;
   report.m_status = aEvent.m_status;
   report.m_unspent = call->second.m_ledger.Available();
-  Answer(aEvent.m_call, report, aEvent.m_payload, aOutput);
-  GateDecisions decisions;
-  m_gate.Finish(aEvent.m_call, aMoment.m_now, decisions);
-  Carry(decisions, aMoment, aOutput);
+  FinishCall(aEvent.m_call, report, aEvent.m_payload, aMoment, aOutput);
 }
 
 void
@@ -159,10 +179,7 @@
   report.m_outcome = aEvent.m_sent ? Outcome::Unknown : Outcome::NotRun;
   report.m_reason = aEvent.m_sent ? Reason::ServerFailed : Reason::NoServer;
   report.m_unspent = call->second.m_ledger.Available();
-  Answer(aEvent.m_call, report, nullptr, aOutput);
-  GateDecisions decisions;
-  m_gate.Finish(aEvent.m_call, aMoment.m_now, decisions);
-  Carry(decisions, aMoment, aOutput);
+  FinishCall(aEvent.m_call, report, nullptr, aMoment, aOutput);
   if (aEvent.m_refused) {
     CloseServer(ServerState::Absent, Reason::NoServer, aOutput);
   }
@@ -191,7 +208,9 @@
 }
 
 std::optional<ChildInheritance>
-GateFlow::Inherit(const GateToken& aParent, const OperationName& aChild)
+GateFlow::Inherit(const GateToken& aParent,
+                  const OperationName& aChild,
+                  Moment aMoment)
 {
   const auto token = m_tokens.find(aParent);
   if (token == m_tokens.end()) {
@@ -201,6 +220,9 @@
   if (parent.m_callerGone) {
     return std::nullopt;
   }
+  if (parent.m_openChildren++ == 0) {
+    parent.m_childSince = aMoment.m_now;
+  }
   const std::uint32_t wanted =
     m_shared.m_configuration.Current()->FirstTries(aChild);
   return ChildInheritance{ parent.m_header,
@@ -209,11 +231,16 @@
 }
 
 void
-GateFlow::TakeBack(const ChildEnded& aEnded)
+GateFlow::TakeBack(const ChildEnded& aEnded, Moment aMoment)
 {
   const auto token = m_tokens.find(aEnded.m_parent);
-  if (token != m_tokens.end()) {
-    m_calls.at(token->second).m_ledger.Return(aEnded.m_unspent);
+  if (token == m_tokens.end()) {
+    return;
+  }
+  Call& parent = m_calls.at(token->second);
+  parent.m_ledger.Return(aEnded.m_unspent);
+  if (parent.m_openChildren > 0 && --parent.m_openChildren == 0) {
+    parent.m_childTime += aMoment.m_now - parent.m_childSince;
   }
 }
 
@@ -269,7 +296,7 @@
     EndKeyed(aId, aReport, aPayload, aOutput);
   }
   CallReport report = aReport;
-  report.m_level = m_gate.Level();
+  report.m_level = LevelOf(call.m_header.m_operation);
   report.m_generation = m_shared.m_configuration.Current()->m_generation;
   aOutput.m_actions.emplace_back(
     AnswerCall{ aId, call.m_header.m_request, report, std::move(aPayload) });
@@ -295,6 +322,60 @@
   Carry(decisions, {}, aOutput);
 }
 
+void
+GateFlow::FinishCall(CallId aCall,
+                     const CallReport& aReport,
+                     PayloadPointer aPayload,
+                     Moment aMoment,
+                     FlowOutput& aOutput)
+{
+  m_now = aMoment.m_now;
+  const GateFinish finish{ aCall,
+                           aReport.m_outcome == Outcome::Completed,
+                           m_calls.at(aCall).m_childTime };
+  Answer(aCall, aReport, std::move(aPayload), aOutput);
+  GateDecisions decisions;
+  m_gate.Finish(finish, aMoment.m_now, decisions);
+  Carry(decisions, aMoment, aOutput);
+}
+
+AdmissionLevel
+GateFlow::LevelOf(const OperationName& aOperation) const
+{
+  AdmissionLevel level = m_gate.Level();
+  const ConfigurationPointer configuration = m_shared.m_configuration.Current();
+  const OperationDescription* operation = configuration->Find(aOperation);
+  if (operation == nullptr || operation->m_calls.empty()) {
+    return level;
+  }
+  m_shared.m_levels.With([&](const LevelTable& aTable) {
+    for (const CalledOperation& called : operation->m_calls) {
+      level = std::max(level, aTable.Level(called.m_name, m_now));
+    }
+  });
+  return level;
+}
+
+bool
+GateFlow::NeedsOwnService(const OperationName& aOperation)
+{
+  const ConfigurationPointer configuration = m_shared.m_configuration.Current();
+  if (m_needsGeneration != configuration->m_generation) {
+    m_needsOwnService.clear();
+    m_needsGeneration = configuration->m_generation;
+  }
+  if (configuration->Find(aOperation) == nullptr) {
+    return false;
+  }
+  const auto known = m_needsOwnService.find(aOperation.m_operation);
+  if (known != m_needsOwnService.end()) {
+    return known->second;
+  }
+  const bool needs = Reaches(*configuration, aOperation, aOperation.m_service);
+  m_needsOwnService.emplace(aOperation.m_operation, needs);
+  return needs;
+}
+
 void
 GateFlow::Forget(CallId aCall)
 {
--- a/modules/cr_node/flow/cr_GateFlow.h
+++ b/modules/cr_node/flow/cr_GateFlow.h
@@ -64,10 +64,11 @@
       Returns nothing when the parent does not run here any more; the grant is 0
       when too few attempts are left. */
   std::optional<ChildInheritance> Inherit(const GateToken& aParent,
-                                          const OperationName& aChild);
+                                          const OperationName& aChild,
+                                          Moment aMoment);
 
   /** Takes back what a child did not spend. */
-  void TakeBack(const ChildEnded& aEnded);
+  void TakeBack(const ChildEnded& aEnded, Moment aMoment);
 
   //==========================================================================
   /** Returns what is known of the backend server. */
@@ -98,6 +99,9 @@
     bool m_isAttached = false;
     bool m_handedOver = false;
     bool m_callerGone = false;
+    std::uint32_t m_openChildren = 0;
+    Instant m_childSince;
+    Duration m_childTime = Duration::zero();
   };
 
   void Carry(const GateDecisions& aDecisions,
@@ -124,6 +128,13 @@
               FlowOutput& aOutput);
   void Refuse(CallId aCall, Reason aReason, FlowOutput& aOutput);
   void CloseServer(ServerState aState, Reason aReason, FlowOutput& aOutput);
+  void FinishCall(CallId aCall,
+                  const CallReport& aReport,
+                  PayloadPointer aPayload,
+                  Moment aMoment,
+                  FlowOutput& aOutput);
+  AdmissionLevel LevelOf(const OperationName& aOperation) const;
+  bool NeedsOwnService(const OperationName& aOperation);
   void Forget(CallId aCall);
   GateToken NextToken();
 
@@ -138,6 +149,12 @@
   std::unordered_map<GateToken, CallId> m_tokens;
   /** Attempts that were handed over or withdrawn and are not here now. */
   AttemptMemory m_memory;
+  /** Time of the latest event. */
+  Instant m_now;
+  /** Operations that wait for others of their own service, and the generation
+      that this is known of. */
+  std::unordered_map<std::string, bool> m_needsOwnService;
+  Generation m_needsGeneration = 0;
 };
 
 }
--- a/modules/cr_node/shared/cr_NodeShared.h
+++ b/modules/cr_node/shared/cr_NodeShared.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "cr_admission/cr_admission.h"
 #include "cr_node/event/cr_NodeIdentity.h"
 #include "cr_node/shared/cr_ConfigurationHolder.h"
 #include "cr_node/shared/cr_OwnerTable.h"
 #include "cr_node/shared/cr_RouterTable.h"
+#include "cr_retry/cr_retry.h"
 #include "cr_suspects/cr_suspects.h"
 
 namespace cr {
@@ -28,6 +30,8 @@
   RouterTable m_routers;
   OwnerTable m_owners;
   Guarded<SuspectTable> m_suspects;
+  Guarded<LevelTable> m_levels;
+  Guarded<RetryQuota> m_retryQuota;
 };
 
 }
--- a/modules/cr_retry/cr_retry.h
+++ b/modules/cr_retry/cr_retry.h
@@ -4,3 +4,5 @@
     is tried again. Pure. */
 
 #include "cr_retry/attempts/cr_AttemptLedger.h"
+#include "cr_retry/attempts/cr_RequestTotals.h"
+#include "cr_retry/quota/cr_RetryQuota.h"
--- a/stand_ins/mesh_stand_in/mesh/cr_TestMesh.cpp
+++ b/stand_ins/mesh_stand_in/mesh/cr_TestMesh.cpp
@@ -1,5 +1,7 @@
 #include "mesh_stand_in/mesh/cr_TestMesh.h"
 
+#include <array>
+#include <deque>
 #include <stdexcept>
 
 namespace cr {
@@ -38,6 +40,8 @@
   /* Set for a call from another node. */
   HostName m_peer;
   AttemptId m_attempt;
+  Importance m_importance = Importance::Low;
+  std::uint64_t m_arrival = 0;
   /* Set for a call from the host's own server. */
   std::shared_ptr<Job> m_parent;
   /* Set for a customer's call. */
@@ -51,6 +55,9 @@
   std::size_t m_nextCall = 0;
   std::string m_tree;
   bool m_cancelled = false;
+  /* Holds one of the server's slots. */
+  bool m_working = false;
+  std::optional<CallId> m_child;
 };
 
 struct TestMesh::Host
@@ -68,6 +75,13 @@
   std::map<CallId, std::function<void(WithdrawResult)>> m_withdrawals;
   std::map<CallId, std::function<void(const Rumour&)>> m_rumourAnswers;
   std::map<CallId, std::function<void(const AnswerObject&)>> m_objectAnswers;
+  std::map<AttemptId, CallId> m_peerCalls;
+  /* Calls at the gate by importance, and when one was handed over last. */
+  std::map<CallId, Importance> m_gateCalls;
+  std::array<std::uint64_t, kImportanceCount> m_atGate{};
+  std::array<std::uint64_t, kImportanceCount> m_lastHandOver{};
+  std::uint32_t m_working = 0;
+  std::deque<std::shared_ptr<Job>> m_backlog;
   std::vector<Event> m_waiting;
   Instant m_timerAt = Instant::max();
 };
@@ -171,6 +185,9 @@
   host.m_origins.clear();
   host.m_forwarded.clear();
   host.m_withdrawals.clear();
+  host.m_peerCalls.clear();
+  host.m_atGate.fill(0);
+  host.m_gateCalls.clear();
   host.m_waiting.clear();
   host.m_timerAt = Instant::max();
   host.m_node = std::make_unique<NodeDecisions>(
@@ -198,6 +215,8 @@
   host.m_serverUp = false;
   ++host.m_serverInstance;
   const auto jobs = std::exchange(host.m_jobs, {});
+  host.m_backlog.clear();
+  host.m_working = 0;
   for (const auto& [id, job] : jobs) {
     Feed(aHost, ServerFailed{ id, true, false });
   }
@@ -212,6 +231,12 @@
   Announce(host);
 }
 
+void
+TestMesh::SetServiceTime(const HostName& aHost, Duration aTime)
+{
+  m_hosts.at(aHost)->m_plan.m_serviceTime = aTime;
+}
+
 NodeDecisions&
 TestMesh::Node(const HostName& aHost)
 {
@@ -312,7 +337,8 @@
   aHost.m_forwarded[aAction.m_attempt] = aAction.m_host;
   const AttemptFailed timedOut{ aAction.m_attempt, true, true };
   After(aAction.m_header.m_remaining, [this, from, timedOut] {
-    if (m_hosts.at(from)->m_forwarded.erase(timedOut.m_attempt) > 0) {
+    if (m_hosts.at(from)->m_forwarded.contains(timedOut.m_attempt)) {
+      Do(*m_hosts.at(from), CancelAttempt{ timedOut.m_attempt });
       Feed(from, timedOut);
     }
   });
@@ -322,7 +348,12 @@
   After(m_faults.m_linkDelay, [this, from, aAction] {
     Host& target = HostOf(aAction.m_peer);
     const CallId id = MakeCallId(++m_sequence, 0);
-    target.m_origins[id] = { from, aAction.m_attempt, nullptr, std::nullopt };
+    const Importance importance = aAction.m_header.m_importance;
+    target.m_origins[id] = { from,      aAction.m_attempt, importance,
+                             ++m_order, nullptr,           std::nullopt };
+    target.m_peerCalls[aAction.m_attempt] = id;
+    target.m_gateCalls[id] = importance;
+    ++target.m_atGate.at(static_cast<std::size_t>(importance));
     Feed(
       target.m_plan.m_host,
       PeerCall{ id, aAction.m_attempt, aAction.m_header, aAction.m_payload });
@@ -339,11 +370,13 @@
   const HostName to = forwarded->second;
   aHost.m_forwarded.erase(forwarded);
   After(m_faults.m_linkDelay, [this, to, attempt = aAction.m_attempt] {
-    for (const auto& [id, origin] : m_hosts.at(to)->m_origins) {
-      if (origin.m_attempt == attempt && !origin.m_peer.empty()) {
-        Feed(to, CallerGone{ id });
-        return;
+    const auto& calls = m_hosts.at(to)->m_peerCalls;
+    if (const auto call = calls.find(attempt); call != calls.end()) {
+      const CallId id = call->second;
+      if (m_policy.m_cancellation) {
+        LeaveGate(*m_hosts.at(to), id);
       }
+      Feed(to, CallerGone{ id });
     }
   });
 }
@@ -394,6 +427,10 @@
   job->m_handOver = aAction;
   job->m_instance = aHost.m_serverInstance;
   aHost.m_jobs[aAction.m_call] = job;
+  const auto importance =
+    static_cast<std::size_t>(aAction.m_header.m_importance);
+  LeaveGate(aHost, aAction.m_call);
+  aHost.m_lastHandOver.at(importance) = ++m_order;
   RunJob(aHost, job);
 }
 
@@ -409,8 +446,44 @@
     return;
   }
   aJob->m_tree = ToText(aJob->m_handOver.m_header.m_operation);
-  After(aHost.m_plan.m_serviceTime,
-        [this, name, aJob] { StepJob(name, aJob); });
+  if (aHost.m_working >= aHost.m_plan.m_slots) {
+    aHost.m_backlog.push_back(aJob);
+    return;
+  }
+  StartWork(aHost, aJob);
+}
+
+void
+TestMesh::StartWork(Host& aHost, const std::shared_ptr<Job>& aJob)
+{
+  const HostName name = aHost.m_plan.m_host;
+  const Duration time = aHost.m_plan.m_serviceTime;
+  aJob->m_working = true;
+  ++aHost.m_working;
+  After(time, [this, name, aJob, time] {
+    if (m_hooks.m_worked && aJob->m_working) {
+      m_hooks.m_worked(aJob->m_handOver.m_header.m_request, time);
+    }
+    StepJob(name, aJob);
+  });
+}
+
+void
+TestMesh::EndJob(Host& aHost, CallId aCall)
+{
+  const auto found = aHost.m_jobs.find(aCall);
+  const std::shared_ptr<Job> job = found->second;
+  aHost.m_jobs.erase(found);
+  if (!std::exchange(job->m_working, false)) {
+    std::erase(aHost.m_backlog, job);
+    return;
+  }
+  --aHost.m_working;
+  if (!aHost.m_backlog.empty()) {
+    const std::shared_ptr<Job> next = aHost.m_backlog.front();
+    aHost.m_backlog.pop_front();
+    StartWork(aHost, next);
+  }
 }
 
 void
@@ -424,7 +497,7 @@
   const CallHeader& header = aJob->m_handOver.m_header;
   const OperationDescription* operation = m_graph.Find(header.m_operation);
   if (operation == nullptr || aJob->m_nextCall == operation->m_calls.size()) {
-    host.m_jobs.erase(id);
+    EndJob(host, id);
     Feed(aHost,
          ServerAnswered{
            id,
@@ -437,6 +510,7 @@
   ++aJob->m_nextCall;
   const CallId call = MakeCallId(++m_sequence, 1);
   host.m_origins[call].m_parent = aJob;
+  aJob->m_child = call;
   Feed(aHost,
        ChildCall{ call,
                   aJob->m_handOver.m_token,
@@ -454,9 +528,13 @@
     return;
   }
   job->second->m_cancelled = true;
-  aHost.m_jobs.erase(job);
+  const std::optional<CallId> child = job->second->m_child;
+  EndJob(aHost, aAction.m_call);
   const HostName name = aHost.m_plan.m_host;
-  After(Duration::zero(), [this, name, id = aAction.m_call] {
+  After(Duration::zero(), [this, name, child, id = aAction.m_call] {
+    if (child) {
+      Feed(name, CallerGone{ *child });
+    }
     Feed(name, ServerFailed{ id, true, false });
   });
 }
@@ -472,14 +550,20 @@
   aHost.m_origins.erase(found);
   const HostName name = aHost.m_plan.m_host;
   if (origin.m_customer) {
-    m_answers.push_back({ origin.m_customer->m_request,
-                          origin.m_customer->m_operation,
-                          aAction.m_report,
-                          aAction.m_payload,
-                          m_now });
+    const MeshAnswer answer{ origin.m_customer->m_request,
+                             origin.m_customer->m_operation,
+                             aAction.m_report,
+                             aAction.m_payload,
+                             m_now };
+    if (m_hooks.m_answered) {
+      m_hooks.m_answered(answer);
+    } else {
+      m_answers.push_back(answer);
+    }
     return;
   }
   if (origin.m_parent) {
+    origin.m_parent->m_child.reset();
     const bool whole = aAction.m_report.m_outcome == Outcome::Completed &&
                        aAction.m_report.m_status == 200;
     After(
@@ -490,7 +574,9 @@
           StepJob(name, job);
           return;
         }
-        if (m_hosts.at(name)->m_jobs.erase(job->m_handOver.m_call) > 0) {
+        Host& host = *m_hosts.at(name);
+        if (host.m_jobs.contains(job->m_handOver.m_call)) {
+          EndJob(host, job->m_handOver.m_call);
           Feed(name,
                ServerAnswered{
                  job->m_handOver.m_call, 503, std::make_shared<Payload>() });
@@ -498,6 +584,12 @@
       });
     return;
   }
+  aHost.m_peerCalls.erase(origin.m_attempt);
+  LeaveGate(aHost, aAction.m_call);
+  if (aAction.m_report.m_reason == Reason::Evicted ||
+      aAction.m_report.m_reason == Reason::Overloaded) {
+    NoteRefusal(aHost, origin);
+  }
   if (IsCut(name, origin.m_peer) || m_random.Unit() < m_faults.m_lostAnswers) {
     return;
   }
@@ -511,6 +603,29 @@
   });
 }
 
+void
+TestMesh::LeaveGate(Host& aHost, CallId aCall)
+{
+  const auto call = aHost.m_gateCalls.find(aCall);
+  if (call != aHost.m_gateCalls.end()) {
+    --aHost.m_atGate.at(static_cast<std::size_t>(call->second));
+    aHost.m_gateCalls.erase(call);
+  }
+}
+
+void
+TestMesh::NoteRefusal(Host& aHost, const Origin& aOrigin)
+{
+  const auto own = static_cast<std::size_t>(aOrigin.m_importance);
+  for (std::size_t lower = 0; lower < own; ++lower) {
+    if (aHost.m_atGate.at(lower) > 0 ||
+        aHost.m_lastHandOver.at(lower) > aOrigin.m_arrival) {
+      ++m_inversions;
+      return;
+    }
+  }
+}
+
 void
 TestMesh::Do(Host& aHost, const AnswerWithdraw& aAction)
 {
--- a/stand_ins/mesh_stand_in/mesh/cr_TestMesh.h
+++ b/stand_ins/mesh_stand_in/mesh/cr_TestMesh.h
@@ -33,6 +33,16 @@
   Instant m_at;
 };
 
+/** Called by the mesh as things happen; empty functions are left out. */
+struct MeshHooks
+{
+  /** A customer got an answer; Answers() then stays empty. */
+  std::function<void(const MeshAnswer&)> m_answered;
+  /** A server spent time on a request, without the time that it waited for
+      calls below. */
+  std::function<void(const RequestId&, Duration)> m_worked;
+};
+
 /** Faults of the mesh, changed by tests at any time. */
 struct MeshFaults
 {
@@ -92,6 +102,12 @@
   /** The backend server dies with the calls that it runs. */
   void CrashServer(const HostName& aHost);
 
+  /** Changes how long the host's server takes for a call from now on. */
+  void SetServiceTime(const HostName& aHost, Duration aTime);
+
+  /** Sets what is called as things happen. */
+  void SetHooks(MeshHooks aHooks) { m_hooks = std::move(aHooks); }
+
   /** The backend server starts again. */
   void StartServer(const HostName& aHost);
 
@@ -122,6 +138,9 @@
   }
   /** Servers that died of a request. */
   std::uint32_t Crashes() const { return m_crashes; }
+  /** Calls refused for want of room at a gate where a less important one waited
+      or was handed over since they had arrived. */
+  std::uint64_t Inversions() const { return m_inversions; }
   /** Store requests that nodes made. */
   std::uint64_t StoreCalls() const { return m_storeCalls; }
   /** Rumours that nodes sent. */
@@ -153,6 +172,10 @@
   bool IsCut(const HostName& aFirst, const HostName& aSecond) const;
   Host& HostOf(const Endpoint& aPeer);
   void RunJob(Host& aHost, const std::shared_ptr<Job>& aJob);
+  void StartWork(Host& aHost, const std::shared_ptr<Job>& aJob);
+  void EndJob(Host& aHost, CallId aCall);
+  static void LeaveGate(Host& aHost, CallId aCall);
+  void NoteRefusal(Host& aHost, const Origin& aOrigin);
   void StepJob(const HostName& aHost, const std::shared_ptr<Job>& aJob);
 
   void Do(Host& aHost, const ForwardCall& aAction);
@@ -184,6 +207,8 @@
   std::map<RequestId, std::uint32_t> m_handOvers;
   std::map<RequestId, std::uint32_t> m_attempts;
   std::map<std::string, std::uint32_t> m_runsByKey;
+  MeshHooks m_hooks;
+  std::uint64_t m_inversions = 0;
   std::uint32_t m_crashes = 0;
   std::uint64_t m_storeCalls = 0;
   std::uint64_t m_rumours = 0;
