Measures pair the product with the naive version by name

Cause: the decision experiment names its policies full and naive, and ends with an error when a measure fails; the program is found under two names.

--- a/benchmarks/measure-report/cr_HtmlReport.cpp
+++ b/benchmarks/measure-report/cr_HtmlReport.cpp
@@ -12,6 +12,7 @@
 
 constexpr double kMillisecondsPerSecond = 1000;
 constexpr std::string_view kNaive = "naive";
+constexpr std::string_view kFull = "full";
 
 std::string
 WriteTable(const std::vector<MeasureLine>& aLines)
@@ -32,18 +33,11 @@
   return table + "</table>\n";
 }
 
-/* The name with the part that says which version it is taken out. */
+/* The name of the same measure of the product. */
 std::string
-NameWithoutVersion(std::string aName)
+NameOfOurs(std::string aName)
 {
-  for (const std::string_view part :
-       { "naive_", "_naive", ".naive", "naive." }) {
-    const auto at = aName.find(part);
-    if (at != std::string::npos) {
-      return aName.erase(at, part.size());
-    }
-  }
-  return aName;
+  return aName.replace(aName.find(kNaive), kNaive.size(), kFull);
 }
 
 std::string
@@ -54,7 +48,7 @@
     if (naive.m_name.find(kNaive) == std::string::npos) {
       continue;
     }
-    const std::string name = NameWithoutVersion(naive.m_name);
+    const std::string name = NameOfOurs(naive.m_name);
     const auto ours =
       std::find_if(aLines.begin(), aLines.end(), [&](const MeasureLine& aLine) {
         return aLine.m_name == name;
--- a/benchmarks/measure-report/tests/cr_MeasureReportTest.cpp
+++ b/benchmarks/measure-report/tests/cr_MeasureReportTest.cpp
@@ -22,13 +22,13 @@
 
 TEST(HtmlReport, ShowsFailsAndBothVersions)
 {
-  const auto lines = ParseMeasureLines("goodput_2x 98 % >=90 pass\n"
-                                       "goodput_2x_naive 40 % none fail\n"
+  const auto lines = ParseMeasureLines("goodput.full.2x 98 % >=90 pass\n"
+                                       "goodput.naive.2x 40 % none fail\n"
                                        "bad<name> 1 runs <=0 fail\n");
   const std::string page = WriteHtmlReport(lines, {});
   EXPECT_NE(page.find("<tr class='fail'><td>bad&lt;name&gt;</td>"),
             std::string::npos);
-  EXPECT_NE(page.find(">goodput_2x (%)</text>"), std::string::npos);
+  EXPECT_NE(page.find(">goodput.full.2x (%)</text>"), std::string::npos);
   EXPECT_EQ(page.find("No experiment printed"), std::string::npos);
 }
 
