Status tells owned partitions; the load waits for owners

Change: /status has owned_partitions; corianderrack-load begins once every partition of services with operations that are not idempotent has an owner. The start-up gap itself remains for customers of a new deployment.

--- a/benchmarks/corianderrack-load/cr_LoadRun.cpp
+++ b/benchmarks/corianderrack-load/cr_LoadRun.cpp
@@ -45,6 +45,7 @@
 
 private:
   bool IsReady(const ScenarioHost& aHost);
+  bool NeedsOwners(const std::string& aService) const;
   void Advance(Duration aTime);
   void SendUntil(Instant aStart, Instant aLimit);
   std::map<std::string, std::size_t> HostCounts() const;
@@ -101,12 +102,27 @@
   if (!status || (*status)["generation"].asUInt64() == 0) {
     return false;
   }
+  if (NeedsOwners(aHost.m_service) &&
+      (*status)["owned_partitions"][aHost.m_service].asUInt64() !=
+        kPartitionCount) {
+    return false;
+  }
   const auto counts = HostCounts();
   return std::all_of(counts.begin(), counts.end(), [&](const auto& aCount) {
     return (*status)["hosts"][aCount.first].asUInt64() == aCount.second;
   });
 }
 
+bool
+LoadRun::Implementation::NeedsOwners(const std::string& aService) const
+{
+  const auto& operations = m_configuration.m_services.at(aService).m_operations;
+  return std::any_of(
+    operations.begin(), operations.end(), [](const auto& aOperation) {
+      return !aOperation.second.m_idempotent;
+    });
+}
+
 std::map<std::string, std::size_t>
 LoadRun::Implementation::HostCounts() const
 {
--- a/benchmarks/corianderrack-load/cr_LoadRun.h
+++ b/benchmarks/corianderrack-load/cr_LoadRun.h
@@ -36,7 +36,8 @@
   /** Starts the platform and the backend servers. */
   Expected<void> StartStandIns();
 
-  /** Waits until every node has a configuration and knows all hosts. */
+  /** Waits until every node has a configuration, knows all hosts and, where
+      operations are not idempotent, knows owners of all keys. */
   Expected<void> WaitForNodes(Duration aLimit);
 
   /** Waits for the idle time, sends the load with its triggers and waits for
--- a/modules/cr_node/decisions/cr_NodeDecisions.cpp
+++ b/modules/cr_node/decisions/cr_NodeDecisions.cpp
@@ -90,6 +90,7 @@
       entry->With([](const EntryFlow& aFlow) { return aFlow.Size(); });
   }
   status.m_hosts = m_shared.m_routers.Sizes();
+  status.m_ownedPartitions = m_shared.m_owners.OwnedPartitions();
   status.m_knownNodes = m_directory.With(
     [](const DirectoryFlow& aFlow) { return aFlow.View().Size(); });
   return status;
--- a/modules/cr_node/decisions/cr_NodeDecisions.h
+++ b/modules/cr_node/decisions/cr_NodeDecisions.h
@@ -25,6 +25,8 @@
   AdmissionLevel m_level = 0;
   std::size_t m_entryCalls = 0;
   std::map<std::string, std::size_t> m_hosts;
+  /** Partitions of keys that have had an owner, by service. */
+  std::map<std::string, std::size_t> m_ownedPartitions;
   std::size_t m_knownNodes = 0;
 };
 
--- a/modules/cr_node/shared/cr_OwnerTable.cpp
+++ b/modules/cr_node/shared/cr_OwnerTable.cpp
@@ -1,5 +1,7 @@
 #include "cr_node/shared/cr_OwnerTable.h"
 
+#include <algorithm>
+
 namespace cr {
 
 namespace {
@@ -104,6 +106,22 @@
   });
 }
 
+std::map<std::string, std::size_t>
+OwnerTable::OwnedPartitions() const
+{
+  return m_state.With([](const State& aState) {
+    std::map<std::string, std::size_t> owned;
+    for (const auto& [service, entry] : aState.m_entries) {
+      const auto& partitions = entry.m_map->m_partitions;
+      owned[service] = static_cast<std::size_t>(std::count_if(
+        partitions.begin(), partitions.end(), [](const Segments& aSegments) {
+          return !aSegments.empty();
+        }));
+    }
+    return owned;
+  });
+}
+
 bool
 OwnerTable::HasRequests() const
 {
--- a/modules/cr_node/shared/cr_OwnerTable.h
+++ b/modules/cr_node/shared/cr_OwnerTable.h
@@ -55,6 +55,10 @@
   /** Returns the service's map, or null. */
   OwnershipMapPointer MapOf(const std::string& aService) const;
 
+  /** Returns, for each service whose map is known, how many of its partitions
+      have had an owner. */
+  std::map<std::string, std::size_t> OwnedPartitions() const;
+
   /** Returns whether a fresh read is wanted. */
   bool HasRequests() const;
 
--- a/modules/cr_process/report/cr_StatusReport.cpp
+++ b/modules/cr_process/report/cr_StatusReport.cpp
@@ -52,6 +52,10 @@
   for (const auto& [service, count] : aStatus.m_hosts) {
     value["hosts"][service] = Json::UInt64(count);
   }
+  value["owned_partitions"] = Json::Value(Json::objectValue);
+  for (const auto& [service, count] : aStatus.m_ownedPartitions) {
+    value["owned_partitions"][service] = Json::UInt64(count);
+  }
   value["usage"] = Encode(aUsage);
   return WriteJson(value);
 }
