--- /dev/null
+++ b/modules/cr_process/tests/cr_ParserFuzzTest.cpp
@@ -0,0 +1,135 @@
+#include <gtest/gtest.h>
+
+#include "tests/fuzz/cr_ParserInputs.h"
+
+namespace cr {
+
+namespace {
+
+constexpr std::uint64_t kSeed = 20261204;
+constexpr int kInputsPerParser = 3000;
+constexpr int kGreatestMutations = 6;
+
+/* A parser and texts that it takes. */
+struct Target
+{
+  std::string m_name;
+  ParserCheck m_check;
+  std::vector<std::string> m_corpus;
+};
+
+std::string
+RumourText()
+{
+  Rumour rumour;
+  rumour.m_sender = { "host-1", Incarnation{ 5 },
+                      2,        "r",
+                      "a",      { "127.0.0.1", 1000 },
+                      "shop",   ServerState::Ready };
+  rumour.m_rows = { rumour.m_sender };
+  rumour.m_generation = 7;
+  rumour.m_suspects = { { RequestId{ 1, 2 }, 1, Seconds(3) } };
+  rumour.m_buckets.assign(kBucketCount, 9);
+  rumour.m_wanted = { 1, 2 };
+  return WriteJson(EncodeRumour(rumour));
+}
+
+std::vector<Target>
+Targets()
+{
+  return {
+    { "node settings",
+      CheckNodeSettings,
+      { R"({ "host": "h", "region": "r", "data_centre": "d", // comment
+             "address": "127.0.0.1", "caller_port": 1, "peer_port": 2,
+             "operator_port": 3, "threads": 4,
+             "platform": { "address": "127.0.0.1", "port": 5 } })" } },
+    { "service file",
+      CheckServiceFile,
+      { R"({ "service": "shop", "objective": "recovery", "operations": {
+             "book": { "importance": "protected", "idempotent": false,
+                       "patience_ms": 5000, "attempts": 9,
+                       "calls": ["shop/look"] },
+             "look": { "importance": "low", "patience_ms": 50 } } })" } },
+    { "store request",
+      CheckStoreRequest,
+      { EncodeStoreRequest(TransactRequest{
+          { { { "t", "k" }, 3 } },
+          { { { "t", "k" }, "v" }, { { "t", "l" }, std::nullopt } } }),
+        EncodeStoreRequest(ScanRequest{ "t", "a", 5, "p" }),
+        EncodeStoreRequest(ReadRequest{ { "t", "k" } }),
+        EncodeStoreRequest(PutObjectRequest{ "n", "c" }) } },
+    { "store answer",
+      CheckStoreAnswer,
+      { EncodeStoreAnswer(Committed{}),
+        EncodeStoreAnswer(ConditionFailed{ { { { "t", "k" }, 3 } } }),
+        EncodeStoreAnswer(RowPage{ { { "k", "v", 1 } }, true }),
+        EncodeStoreAnswer(RowFound{ Row{ "k", "v", 1 } }),
+        EncodeStoreAnswer(ObjectFound{ "content" }) } },
+    { "rumour", CheckRumour, { RumourText() } },
+    { "rpc", CheckRpc, { EncodeRpcCall("rumour", *ParseJson(RumourText())) } },
+    { "publication rows",
+      CheckPublicationRows,
+      { EncodeHead({ 1, "m", "p", "o", 5 }),
+        EncodeRecord({ { 1, "m", "p", "o", 5 }, 0, { "a" }, { "b" }, 1 }),
+        EncodeManifest({ { { "shop", "object" } } }) } },
+  };
+}
+
+/* Flips, inserts, removes, doubles or replaces some bytes. */
+std::string
+Mutate(std::string aText, Random& aRandom)
+{
+  static const std::vector<std::string> tokens = {
+    "null",  "-1",      "18446744073709551616",
+    "1e999", "[",       "{",
+    "\"",    "\\u0000", "true",
+    ",",     ":",       "/*",
+    "]",     "}",       "\n",
+    "\xff"
+  };
+  const std::uint64_t count = 1 + aRandom.Below(kGreatestMutations);
+  for (std::uint64_t step = 0; step < count && !aText.empty(); ++step) {
+    const std::size_t at = aRandom.Below(aText.size());
+    const std::size_t length = 1 + aRandom.Below(8);
+    switch (aRandom.Below(5)) {
+      case 0:
+        aText[at] = static_cast<char>(aRandom.Below(256));
+        break;
+      case 1:
+        aText.insert(at, tokens.at(aRandom.Below(tokens.size())));
+        break;
+      case 2:
+        aText.erase(at, length);
+        break;
+      case 3:
+        aText.insert(at, aText.substr(at, length));
+        break;
+      default:
+        aText.replace(at, length, tokens.at(aRandom.Below(tokens.size())));
+    }
+  }
+  return aText;
+}
+
+TEST(ParserFuzz, MutatedInputsAreReadOrRefused)
+{
+  Random random(kSeed);
+  for (const Target& target : Targets()) {
+    for (const std::string& text : target.m_corpus) {
+      EXPECT_EQ(target.m_check(text), "") << target.m_name;
+    }
+    for (int number = 0; number < kInputsPerParser; ++number) {
+      const std::string input = Mutate(
+        target.m_corpus.at(random.Below(target.m_corpus.size())), random);
+      std::string wrong;
+      ASSERT_NO_THROW(wrong = target.m_check(input))
+        << target.m_name << ": " << input;
+      ASSERT_EQ(wrong, "") << target.m_name << ": " << input;
+    }
+  }
+}
+
+}
+
+}
--- /dev/null
+++ b/modules/cr_process/tests/fuzz/cr_ParserInputs.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "cr_configuration/cr_configuration.h"
+#include "cr_platform/cr_platform.h"
+#include "cr_process/wire/cr_RumourWire.h"
+#include "cr_rpc/cr_rpc.h"
+#include "cr_settings/cr_settings.h"
+
+namespace cr {
+
+/** Reads a text that may be anything, and returns what is wrong: a text that is
+    read, written and read again must come out the same. Empty when all is well;
+    whatever the text is, nothing may be thrown. Thread safe. */
+using ParserCheck = std::string (*)(std::string_view);
+
+inline std::string
+CheckNodeSettings(std::string_view aText)
+{
+  Findings findings;
+  ParseNodeSettings("fuzz", aText, findings);
+  for (const Finding& finding : findings) {
+    if (finding.m_place.m_line < 1 || finding.m_place.m_column < 1) {
+      return "a finding has no place";
+    }
+  }
+  return {};
+}
+
+inline std::string
+CheckServiceFile(std::string_view aText)
+{
+  Findings findings;
+  const ServiceDescription service = ParseServiceFile("fuzz", aText, findings);
+  if (findings.empty()) {
+    BuildConfiguration(1, std::span(&service, 1), findings);
+  }
+  return {};
+}
+
+inline std::string
+CheckStoreRequest(std::string_view aText)
+{
+  const auto request = DecodeStoreRequest(aText);
+  if (!request) {
+    return {};
+  }
+  const std::string text = EncodeStoreRequest(*request);
+  const auto again = DecodeStoreRequest(text);
+  return again && EncodeStoreRequest(*again) == text ? "" : text;
+}
+
+inline std::string
+CheckStoreAnswer(std::string_view aText)
+{
+  const StoreAnswer answer = DecodeStoreAnswer(aText);
+  const std::string text = EncodeStoreAnswer(answer);
+  return EncodeStoreAnswer(DecodeStoreAnswer(text)) == text ? "" : text;
+}
+
+inline std::string
+CheckRumour(std::string_view aText)
+{
+  const auto value = ParseJson(aText);
+  const auto rumour =
+    value ? DecodeRumour(*value) : tl::unexpected(value.error());
+  if (!rumour) {
+    return {};
+  }
+  const std::string text = WriteJson(EncodeRumour(*rumour));
+  const auto again = DecodeRumour(*ParseJson(text));
+  return again && WriteJson(EncodeRumour(*again)) == text ? "" : text;
+}
+
+inline std::string
+CheckRpc(std::string_view aText)
+{
+  RpcServer server;
+  server.Bind("rumour", [](const Json::Value& aParameters) {
+    const auto rumour = DecodeRumour(aParameters);
+    if (!rumour) {
+      throw Json::RuntimeError(rumour.error().m_text);
+    }
+    return EncodeRumour(*rumour);
+  });
+  server.Answer(std::string(aText));
+  DecodeRpcReply(std::string(aText));
+  return {};
+}
+
+inline std::string
+CheckPublicationRows(std::string_view aText)
+{
+  static_cast<void>(DecodeHead(aText));
+  static_cast<void>(DecodeManifest(aText));
+  static_cast<void>(DecodeRecord(aText));
+  return {};
+}
+
+}
