Mass starts no longer flood; contacts for a start without the table

Cause: when all nodes start within seconds every row is news to every node. At 910 nodes the experiment did not come to the end of its 60 s warm-up in 220 s of processor time, most of it in TakeNews with hundreds of waiting changes.

Change: at most 64 changes of others wait to be told on; the table, digests and, when a quarter of the buckets differ, a full copy from a peer (at most every 30 s) make up for the rest. Three quick scans at the start. Setting "contacts": nodes to ask when the table is down and nobody is known.

Not measured in this commit: 910 nodes.

--- a/modules/cr_membership/tests/cr_MembershipViewTest.cpp
+++ b/modules/cr_membership/tests/cr_MembershipViewTest.cpp
@@ -151,6 +151,25 @@
   EXPECT_TRUE(view.HasNews());
 }
 
+TEST(MembershipView, ManyChangesAtOnceAreNotAllToldOn)
+{
+  MembershipView view = MakeView();
+  while (view.HasNews()) {
+    view.TakeNews(1);
+  }
+  for (std::uint16_t number = 1; number <= 1000; ++number) {
+    view.Learn(MakeRow("host-" + std::to_string(number), 1, 1, kPort + number),
+               RowSource::News,
+               At(1));
+  }
+  EXPECT_TRUE(view.SetServer("shop", ServerState::Leaving, At(1)));
+  const auto news = view.TakeNews(1000);
+  EXPECT_LT(news.size(), 100U);
+  EXPECT_TRUE(std::any_of(news.begin(), news.end(), [](const NodeRow& aRow) {
+    return aRow.m_host == "self";
+  }));
+}
+
 TEST(MembershipView, DeadRowsAreRemovedFromTheTableByCondition)
 {
   MembershipView view = MakeView();
--- a/modules/cr_membership/view/cr_MembershipView.cpp
+++ b/modules/cr_membership/view/cr_MembershipView.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kLease = Seconds(50);
 constexpr Duration kRemoveAfter = Seconds(3600);
 constexpr std::size_t kRowLimit = 4096;
+constexpr std::size_t kNewsLimit = 64;
 constexpr unsigned kTellingsPerDoubling = 2;
 
 std::size_t
@@ -189,7 +190,8 @@
   entry.m_unchangedSince = aNow;
   entry.m_lapsed = true;
   SetLapsed(entry, false);
-  if (aSource == RowSource::News) {
+  if (aSource == RowSource::News &&
+      (aRow.m_host == m_host || m_news.size() < kNewsLimit)) {
     m_news[aRow.m_host] = Tellings();
   }
   m_lastChange = aNow;
--- a/modules/cr_membership/view/cr_MembershipView.h
+++ b/modules/cr_membership/view/cr_MembershipView.h
@@ -37,7 +37,8 @@
 /** How a row came to this node. */
 enum class RowSource : std::uint8_t
 {
-  /** Among changes; it is told on. */
+  /** Among changes; it is told on, unless many changes wait already. Then the
+      digests and the table make up for it. */
   News,
   /** In a copy; others have it already. */
   Copy
--- a/modules/cr_node/event/cr_NodeIdentity.h
+++ b/modules/cr_node/event/cr_NodeIdentity.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "cr_core/cr_core.h"
 #include "cr_settings/cr_settings.h"
@@ -19,6 +20,8 @@
   Endpoint m_peer;
   /** Seed of its random choices. */
   std::uint64_t m_seed = 0;
+  /** Other nodes that may be asked when the table is down at the start. */
+  std::vector<Endpoint> m_contacts{};
 };
 
 /** The time at which an event is handled. */
--- a/modules/cr_node/flow/cr_DirectoryFlow.cpp
+++ b/modules/cr_node/flow/cr_DirectoryFlow.cpp
@@ -12,21 +12,23 @@
 constexpr Duration kRenewRetry = Seconds(3);
 constexpr Duration kWriteGap = Milliseconds(500);
 constexpr Duration kScanInterval = Seconds(15);
-constexpr Duration kQuickScanGap = Seconds(1);
+constexpr Duration kQuickScanGap = Seconds(2);
 constexpr Duration kRumourInterval = Seconds(2);
 constexpr Duration kPushDelay = Milliseconds(150);
 constexpr Duration kRoutesGap = Milliseconds(200);
 constexpr Duration kAskAllGap = Seconds(1);
 constexpr Duration kRepairInterval = Seconds(5);
+constexpr Duration kFullCopyInterval = Seconds(30);
 constexpr Duration kBucketsInterval = Seconds(1);
 constexpr Duration kQuietBeforeRepair = Seconds(2);
 constexpr std::uint32_t kPageLimit = 100;
-constexpr unsigned kQuickScanCount = 2;
+constexpr unsigned kQuickScanCount = 3;
 constexpr std::size_t kPushPeers = 3;
 constexpr unsigned kGenerationTellings = 6;
 constexpr std::size_t kNewsLimit = 20;
 constexpr std::size_t kSuspectLimit = 16;
 constexpr std::size_t kRepairBuckets = 4;
+constexpr std::size_t kBucketsBeforeFullCopy = 16;
 constexpr std::size_t kCopiesLimit = 64;
 constexpr int kPeerDraws = 8;
 constexpr double kJitterLeast = 0.75;
@@ -165,7 +167,9 @@
     answer.m_buckets.assign(m_view.Digests().begin(), m_view.Digests().end());
   }
   aActions.emplace_back(AnswerRumour{ aEvent.m_call, std::move(answer) });
-  AskForAll(asked.m_sender.m_peer, aMoment, aActions);
+  if (!m_hasFullCopy) {
+    AskForAll(asked.m_sender.m_peer, aMoment, aActions);
+  }
 }
 
 void
@@ -180,7 +184,9 @@
   const Rumour& rumour = *aEvent.m_rumour;
   TakeRumour(rumour, isCopy ? RowSource::Copy : RowSource::News, aMoment);
   m_hasFullCopy = m_hasFullCopy || (isCopy && !rumour.m_rows.empty());
-  AskForAll(rumour.m_sender.m_peer, aMoment, aActions);
+  if (!m_hasFullCopy) {
+    AskForAll(rumour.m_sender.m_peer, aMoment, aActions);
+  }
   Repair(rumour, aMoment, aActions);
 }
 
@@ -307,16 +313,25 @@
   m_repairDue = aMoment.m_now + kRepairInterval;
   std::vector<NodeRow> rows;
   std::vector<std::uint32_t> wanted;
+  std::size_t differing = 0;
   const std::size_t first = m_random.Below(kBucketCount);
   for (std::size_t step = 0; step < kBucketCount; ++step) {
     const std::size_t bucket = (first + step) % kBucketCount;
-    if (aAnswer.m_buckets.at(bucket) != m_view.Digests().at(bucket) &&
-        wanted.size() < kRepairBuckets) {
+    if (aAnswer.m_buckets.at(bucket) == m_view.Digests().at(bucket)) {
+      continue;
+    }
+    ++differing;
+    if (wanted.size() < kRepairBuckets) {
       wanted.push_back(static_cast<std::uint32_t>(bucket));
       const auto own = m_view.RowsOf(bucket);
       rows.insert(rows.end(), own.begin(), own.end());
     }
   }
+  if (differing > kBucketsBeforeFullCopy && aMoment.m_now >= m_fullCopyDue) {
+    m_fullCopyDue = aMoment.m_now + Jitter(kFullCopyInterval);
+    AskForAll(aAnswer.m_sender.m_peer, aMoment, aActions);
+    return;
+  }
   if (wanted.empty()) {
     return;
   }
@@ -332,6 +347,7 @@
   for (std::size_t peer = 0; peer < aPeers; ++peer) {
     const NodeRow* target = RandomPeer();
     if (target == nullptr) {
+      AskContact(aMoment, aActions);
       return;
     }
     const Endpoint endpoint = target->m_peer;
@@ -352,7 +368,7 @@
                          Moment aMoment,
                          Actions& aActions)
 {
-  if (m_hasFullCopy || aMoment.m_now < m_askAllDue) {
+  if (aMoment.m_now < m_askAllDue) {
     return;
   }
   m_askAllDue = aMoment.m_now + kAskAllGap;
@@ -365,6 +381,17 @@
   Send(aPeer, std::move(rumour), aActions);
 }
 
+/* The table is down and no node is known: one of the settings' contacts may
+   help. */
+void
+DirectoryFlow::AskContact(Moment aMoment, Actions& aActions)
+{
+  const std::vector<Endpoint>& contacts = m_shared.m_identity.m_contacts;
+  if (!contacts.empty()) {
+    AskForAll(contacts.at(m_random.Below(contacts.size())), aMoment, aActions);
+  }
+}
+
 Rumour
 DirectoryFlow::MakeRumour(std::vector<NodeRow> aRows, Moment aMoment) const
 {
--- a/modules/cr_node/flow/cr_DirectoryFlow.h
+++ b/modules/cr_node/flow/cr_DirectoryFlow.h
@@ -69,6 +69,7 @@
   void SendNews(std::size_t aPeers, Moment aMoment, Actions& aActions);
   void Send(const Endpoint& aPeer, Rumour aRumour, Actions& aActions);
   void AskForAll(const Endpoint& aPeer, Moment aMoment, Actions& aActions);
+  void AskContact(Moment aMoment, Actions& aActions);
   Rumour MakeRumour(std::vector<NodeRow> aRows, Moment aMoment) const;
   const NodeRow* RandomPeer();
   void SchedulePush(Moment aMoment);
@@ -100,6 +101,7 @@
   Instant m_routesUpdated;
   Instant m_askAllDue;
   Instant m_repairDue;
+  Instant m_fullCopyDue;
   Instant m_bucketsDue;
   std::set<std::uint64_t> m_copiesAsked;
   Generation m_toldGeneration = 0;
--- a/modules/cr_node/tests/cr_ControlPlaneTest.cpp
+++ b/modules/cr_node/tests/cr_ControlPlaneTest.cpp
@@ -152,6 +152,22 @@
   EXPECT_EQ(mesh.Node("stock-1").Status().m_hosts["shop"], 2U);
 }
 
+TEST(ControlPlane, NodeThatKnowsNobodyAsksAContact)
+{
+  NodeIdentity identity;
+  identity.m_host = "new";
+  identity.m_contacts = { { "127.0.0.1", 1 } };
+  NodeDecisions node(identity);
+  Actions actions;
+  node.Handle(TimerDue{}, {}, actions);
+  const auto asks = [](const Action& aAction) {
+    const auto* rumour = std::get_if<SendRumour>(&aAction);
+    return rumour != nullptr && rumour->m_rumour.m_wantsAll &&
+           rumour->m_peer.m_port == 1;
+  };
+  EXPECT_TRUE(std::any_of(actions.begin(), actions.end(), asks));
+}
+
 /* The table is restored from an older copy: nodes keep what is in force. */
 TEST(ControlPlane, OlderHeadInTheTableIsNotAdopted)
 {
--- a/modules/cr_process/server/cr_NodeServer.cpp
+++ b/modules/cr_process/server/cr_NodeServer.cpp
@@ -34,7 +34,8 @@
            aSettings.m_region,
            aSettings.m_dataCentre,
            { aSettings.m_address, aSettings.m_peerPort },
-           Hash(aSettings.m_host, static_cast<std::uint64_t>(aIncarnation)) };
+           Hash(aSettings.m_host, static_cast<std::uint64_t>(aIncarnation)),
+           aSettings.m_contacts };
 }
 
 /* Calls and attempts that the shell has open, in shards. */
--- a/modules/cr_settings/node/cr_NodeSettings.cpp
+++ b/modules/cr_settings/node/cr_NodeSettings.cpp
@@ -13,6 +13,7 @@
 constexpr IntegerRange kPortRange = { 1, 65535 };
 constexpr IntegerRange kThreadRange = { 1, 64 };
 constexpr IntegerRange kShutdownRangeSeconds = { 1, 3600 };
+constexpr Json::ArrayIndex kContactLimit = 16;
 constexpr std::int64_t kDefaultThreads = 2;
 constexpr std::int64_t kDefaultShutdownSeconds = 30;
 
@@ -59,6 +60,32 @@
   return endpoint;
 }
 
+namespace {
+
+std::vector<Endpoint>
+ReadContacts(const JsonDocument& aDocument,
+             const Json::Value& aList,
+             Findings& aFindings)
+{
+  std::vector<Endpoint> contacts;
+  if (aList.isNull()) {
+    return contacts;
+  }
+  if (!aList.isArray() || aList.size() > kContactLimit) {
+    aFindings.push_back(aDocument.FindingAt(
+      aList,
+      fmt::format("\"contacts\" must be a list of at most {} endpoints",
+                  kContactLimit)));
+    return contacts;
+  }
+  for (const Json::Value& contact : aList) {
+    contacts.push_back(ParseEndpoint(aDocument, contact, aFindings));
+  }
+  return contacts;
+}
+
+}
+
 NodeSettings
 ParseNodeSettings(std::string_view aFile,
                   std::string_view aText,
@@ -82,6 +109,8 @@
   settings.m_operatorPort = ReadPort(reader, "operator_port");
   settings.m_platform =
     ParseEndpoint(document, reader.ReadValue("platform"), aFindings);
+  settings.m_contacts =
+    ReadContacts(document, reader.ReadValue("contacts"), aFindings);
   settings.m_threads = static_cast<std::uint32_t>(
     reader.ReadInteger("threads", kThreadRange, kDefaultThreads));
   settings.m_shutdownLimit = Seconds(reader.ReadInteger(
--- a/modules/cr_settings/node/cr_NodeSettings.h
+++ b/modules/cr_settings/node/cr_NodeSettings.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "cr_core/cr_core.h"
 #include "cr_settings/json/cr_JsonDocument.h"
@@ -40,6 +41,9 @@
   std::uint16_t m_operatorPort = 0;
   /** The platform's table service and object store. */
   Endpoint m_platform;
+  /** Peer ports of some other nodes, asked when the table is down at the start;
+      may be empty. */
+  std::vector<Endpoint> m_contacts;
   /** Number of threads that serve connections. */
   std::uint32_t m_threads = 2;
   /** Greatest time that a graceful shutdown waits for calls in progress. */
