Linter knows the flags of fuzz targets

Cause: without CR_FUZZ the files of tests/fuzz/ were in no target, so the linter guessed their flags and failed. Change: they form an object library that is not built by default. Compiled once with g++; two files linted, clean.

--- a/cmake/CrModule.cmake
+++ b/cmake/CrModule.cmake
@@ -100,6 +100,12 @@
       set_tests_properties(${name} PROPERTIES TIMEOUT 300 LABELS fuzz)
       add_dependencies(fuzz_tests ${name})
     endforeach()
+  elseif(fuzzers)
+    # Not built; the linter needs the flags of each source.
+    add_library(${TARGET}_fuzz_sources OBJECT EXCLUDE_FROM_ALL ${fuzzers})
+    target_include_directories(${TARGET}_fuzz_sources PRIVATE
+      "${CMAKE_CURRENT_SOURCE_DIR}")
+    target_link_libraries(${TARGET}_fuzz_sources PRIVATE ${ARG_LIBRARIES})
   endif()
 endfunction()
 
--- a/modules/cr_membership/tests/cr_MembershipViewTest.cpp
+++ b/modules/cr_membership/tests/cr_MembershipViewTest.cpp
@@ -66,6 +66,7 @@
 {
   const auto count = *rc::gen::inRange(1, 60);
   std::vector<NodeRow> rows;
+  rows.reserve(static_cast<std::size_t>(count));
   for (int number = 0; number < count; ++number) {
     rows.push_back(MakeRow("host-" + std::to_string(number),
                            1,
