--- a/stand_ins/mesh_stand_in/mesh/cr_TestMesh.cpp
+++ b/stand_ins/mesh_stand_in/mesh/cr_TestMesh.cpp
@@ -642,6 +642,9 @@
 TestMesh::Do(Host& aHost, const CallStore& aAction)
 {
   ++m_storeCalls;
+  StoreLoad& load = m_storeLoads[aAction.m_call.m_client];
+  ++(std::holds_alternative<TransactRequest>(aAction.m_request) ? load.m_writes
+                                                                : load.m_reads);
   const HostName name = aHost.m_plan.m_host;
   const std::uint64_t run = aHost.m_incarnation;
   const auto answer = [this, name, run, aAction](StoreAnswer aAnswer) {
--- a/stand_ins/mesh_stand_in/mesh/cr_TestMesh.h
+++ b/stand_ins/mesh_stand_in/mesh/cr_TestMesh.h
@@ -23,6 +23,13 @@
   Duration m_serviceTime = Milliseconds(5);
 };
 
+/** Requests that nodes made of the platform. */
+struct StoreLoad
+{
+  std::uint64_t m_reads = 0;
+  std::uint64_t m_writes = 0;
+};
+
 /** What a customer of the mesh got. */
 struct MeshAnswer
 {
@@ -141,6 +148,12 @@
   /** Calls refused for want of room at a gate where a less important one waited
       or was handed over since they had arrived. */
   std::uint64_t Inversions() const { return m_inversions; }
+  /** Store requests that a part of the nodes made. */
+  StoreLoad StoreLoads(StoreClient aClient) const
+  {
+    const auto load = m_storeLoads.find(aClient);
+    return load == m_storeLoads.end() ? StoreLoad() : load->second;
+  }
   /** Store requests that nodes made. */
   std::uint64_t StoreCalls() const { return m_storeCalls; }
   /** Rumours that nodes sent. */
@@ -211,6 +224,7 @@
   std::uint64_t m_inversions = 0;
   std::uint32_t m_crashes = 0;
   std::uint64_t m_storeCalls = 0;
+  std::map<StoreClient, StoreLoad> m_storeLoads;
   std::uint64_t m_rumours = 0;
 };
 
