Keyed calls wait until their deadline while a service has no map of owners

Cause: orders that came in the first seconds of a service were told unknown at once, because nobody owned its keys yet. Change: such calls wait for the first map, until their deadline. Conclusion: the wait is bounded by the caller's patience and a timer step.

--- a/modules/cr_node/flow/cr_EntryFlow.cpp
+++ b/modules/cr_node/flow/cr_EntryFlow.cpp
@@ -362,10 +362,12 @@
 bool
 EntryFlow::Park(Call& aCall)
 {
-  if (std::exchange(aCall.m_hasParked, true)) {
+  const std::string& service = aCall.m_header.m_operation.m_service;
+  if (!std::exchange(aCall.m_hasParked, true)) {
+    m_shared.m_owners.RequestRefresh(service);
+  } else if (m_shared.m_owners.MapOf(service)) {
     return false;
   }
-  m_shared.m_owners.RequestRefresh(aCall.m_header.m_operation.m_service);
   m_parked.push_back(aCall.m_id);
   return true;
 }
--- a/modules/cr_node/flow/cr_EntryFlow.h
+++ b/modules/cr_node/flow/cr_EntryFlow.h
@@ -126,7 +126,8 @@
   std::optional<RouteTarget> ChooseOwner(const Call& aCall);
   bool MayRetry(const Call& aCall);
   bool TakeRetry(const Call& aCall);
-  /* Lets the call wait for a fresh map of key owners; once for each call. */
+  /* Lets the call wait for a fresh map of key owners: once when there is a map,
+     and until its deadline when there is none yet. */
   bool Park(Call& aCall);
   void RetryOrEnd(Call& aCall, Moment aMoment, FlowOutput& aOutput);
   void EndUnanswered(Call& aCall, Reason aReason, FlowOutput& aOutput);
--- a/modules/cr_node/tests/cr_OwnershipTest.cpp
+++ b/modules/cr_node/tests/cr_OwnershipTest.cpp
@@ -116,6 +116,22 @@
   }
 }
 
+TEST(Ownership, CallOfServiceWithoutOwnersEndsAtItsDeadline)
+{
+  TestMesh mesh(BookingHosts(), BookingGraph(), kSeed);
+  std::vector<ServiceFileText> files = BookingGraph();
+  files.push_back({ "refund.json", R"({ "service": "refund", "operations": {
+    "pay": { "importance": "protected", "patience_ms": 2000 } } })" });
+  mesh.PublishFiles(files, "test");
+  mesh.RunFor(Seconds(10));
+  mesh.Call("stock-1", mesh.MakeCall({ "refund", "pay" }));
+  mesh.RunFor(Seconds(1));
+  EXPECT_TRUE(mesh.Answers().empty());
+  mesh.RunFor(Seconds(3));
+  ASSERT_EQ(mesh.Answers().size(), 1U);
+  EXPECT_EQ(mesh.Answers().back().m_report.m_outcome, Outcome::Unknown);
+}
+
 TEST(Ownership, BirthFarInTheFutureIsRefusedAsNotRun)
 {
   TestMesh mesh(BookingHosts(), BookingGraph(), kSeed);
