--- a/modules/cr_admission/gate/cr_AdmissionThreshold.cpp
+++ b/modules/cr_admission/gate/cr_AdmissionThreshold.cpp
@@ -7,10 +7,10 @@
 namespace {
 
 constexpr Duration kInterval = Milliseconds(50);
-constexpr std::uint32_t kRaiseDivisor = 8;
+constexpr std::uint32_t kRaiseDivisor = 16;
 constexpr std::size_t kLongDivisor = 2;
-constexpr std::size_t kShortDivisor = 8;
-constexpr AdmissionLevel kFirstStep = 8;
+constexpr std::size_t kShortDivisor = 3;
+constexpr AdmissionLevel kFirstStep = 16;
 constexpr AdmissionLevel kGreatestStep = 256;
 constexpr AdmissionLevel kGreatestLevel = RankOf(Importance::Protected, 0);
 
--- a/modules/cr_admission/gate/cr_ConcurrencyLimit.cpp
+++ b/modules/cr_admission/gate/cr_ConcurrencyLimit.cpp
@@ -11,9 +11,7 @@
 /* One call and the one that it waits for below. */
 constexpr double kLeastLimit = 2.0;
 constexpr double kStartShare = 0.25;
-constexpr double kFloorShare = 0.25;
 constexpr double kSlowRatio = 2.0;
-constexpr double kDecrease = 0.9;
 constexpr double kIncreaseShare = 0.125;
 constexpr double kBestDrift = 0.001;
 
@@ -70,10 +68,8 @@
   const double ratio = m_ratioSum / m_samples;
   m_samples = 0;
   m_ratioSum = 0.0;
-  const double floor = std::max(kLeastLimit, kFloorShare * m_slots);
   if (ratio > kSlowRatio) {
     m_isStarting = false;
-    m_limit = std::max(floor, m_limit * kDecrease);
   } else if (std::exchange(m_wasReached, false)) {
     const double step =
       m_isStarting ? m_limit : std::max(1.0, m_limit * kIncreaseShare);
--- a/modules/cr_admission/gate/cr_ConcurrencyLimit.h
+++ b/modules/cr_admission/gate/cr_ConcurrencyLimit.h
@@ -10,11 +10,10 @@
 /** Number of calls that a backend server may run at once, from measured time
    and under the slots that it announces.
 
-    Additive increase while the limit is what holds calls back, multiplicative
-    decrease while calls take much longer in the server than they did at its
-    best (Chiu and Jain, 1989). It starts small and doubles until it meets the
-    slots or the first decrease. Time spent waiting for calls below does not
-    count. Not thread safe. */
+    It starts small and doubles with each round of calls until it meets the
+   slots or calls take much longer in the server than they did at its best; from
+   then on it grows by a share, and not at all while they take much longer. Time
+   spent waiting for calls below does not count. Not thread safe. */
 class ConcurrencyLimit
 {
 public:
--- a/modules/cr_admission/gate/cr_Gate.cpp
+++ b/modules/cr_admission/gate/cr_Gate.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t kWaitingPerSlot = 2;
+constexpr std::size_t kWaitingPerSlot = 3;
 /* Without an adaptive limit, calls go in up to the server's connections, of
    which there are about this many for each slot. */
 constexpr std::uint32_t kConnectionsPerSlot = 10;
@@ -132,7 +132,9 @@
 Gate::OrderOf(const GateCall& aCall)
 {
   return { m_policy.m_importance ? aCall.m_importance : Importance::Low,
-           m_policy.m_begunFirst ? aCall.m_depth : 0,
+           m_policy.m_begunFirst
+             ? 2 * aCall.m_depth + (aCall.m_needsOwnService ? 0U : 1U)
+             : 0,
            m_policy.m_cohorts ? CohortOf(aCall.m_request) : std::uint8_t{ 0 },
            ++m_arrivals };
 }
--- a/modules/cr_admission/gate/cr_Gate.h
+++ b/modules/cr_admission/gate/cr_Gate.h
@@ -46,7 +46,8 @@
     it, so it alone knows what runs and what waits.
 
     Waiting calls are served by importance, then by depth (work begun for the
-    same request), then by the request's cohort; among equals the oldest first,
+    same request; calls that wait for no other of the service before those that
+    do), then by the request's cohort; among equals the oldest first,
     and the newest first while the queue stands. The queue is bounded: beyond
     the limit the least of the waiting calls is refused, so a call is never
     refused for want of room while a less important one waits.
