Suspects run apart, are cleared by completing and refused after two deaths

Cause: no gate reported a server's death; a request that crashes servers was tried on one host after the other and again at each resend. Change: deaths are seen at the gate, told at once to the hosts of the service, carried with the next attempt and learnt from the answer; suspects run one after the other; completing clears. A lost connection whose host answers the withdrawal no longer counts against the host, a 5xx answer does. The shell keeps no entry of an exchange that ended before Send() returned.

--- a/modules/cr_core/call/cr_CallHeader.h
+++ b/modules/cr_core/call/cr_CallHeader.h
@@ -76,6 +76,9 @@
   std::uint32_t m_depth = 0;
   /** Newest configuration known to the sender. */
   Generation m_generation = 0;
+  /** Servers that died of the request at this operation, as far as the sender
+      knows. */
+  std::uint32_t m_deaths = 0;
 };
 
 /** What travels back with the answer of a call. */
--- a/modules/cr_node/decisions/cr_NodeDecisions.cpp
+++ b/modules/cr_node/decisions/cr_NodeDecisions.cpp
@@ -336,6 +336,7 @@
 {
   m_directory.With([&](DirectoryFlow& aFlow) {
     aFlow.TellChanges(aMoment);
+    aFlow.TellSuspects(aMoment);
     aFlow.Advance(aMoment, aActions);
   });
 }
--- a/modules/cr_node/event/cr_Event.h
+++ b/modules/cr_node/event/cr_Event.h
@@ -149,6 +149,8 @@
   bool m_sent = false;
   /** The connection was refused: the server is gone. */
   bool m_refused = false;
+  /** The server did not answer in time; it may be alive. */
+  bool m_timedOut = false;
 };
 
 //==============================================================================
--- a/modules/cr_node/flow/cr_DirectoryFlow.cpp
+++ b/modules/cr_node/flow/cr_DirectoryFlow.cpp
@@ -26,7 +26,9 @@
 constexpr std::size_t kPushPeers = 3;
 constexpr unsigned kGenerationTellings = 6;
 constexpr std::size_t kNewsLimit = 20;
-constexpr std::size_t kSuspectLimit = 16;
+constexpr Duration kUrgentInterval = Milliseconds(2);
+constexpr std::size_t kUrgentPeers = 32;
+constexpr std::size_t kSuspectLimit = 128;
 constexpr std::size_t kRepairBuckets = 4;
 constexpr std::size_t kBucketsBeforeFullCopy = 16;
 constexpr std::size_t kCopiesLimit = 64;
@@ -53,7 +55,7 @@
   std::uint64_t digest = 0;
   for (const Suspect& suspect : aSuspects) {
     digest ^= Hash(Hash(suspect.m_request.m_high, suspect.m_request.m_low),
-                   suspect.m_deaths);
+                   Hash(suspect.m_deaths, suspect.m_cleared));
   }
   return digest;
 }
@@ -115,6 +117,9 @@
   if (aMoment.m_now >= m_scanDue && !m_isReading) {
     ReadPage(aActions);
   }
+  if (aMoment.m_now >= m_urgentDue) {
+    SendUrgent(aMoment, aActions);
+  }
   if (aMoment.m_now >= m_rumourDue) {
     m_rumourDue = aMoment.m_now + Jitter(kRumourInterval);
     TellChanges(aMoment);
@@ -194,7 +199,7 @@
 DirectoryFlow::NextDue() const
 {
   const Instant due =
-    std::min({ m_renewDue, m_rumourDue, m_pushDue, m_routesDue });
+    std::min({ m_renewDue, m_rumourDue, m_pushDue, m_routesDue, m_urgentDue });
   return m_isReading ? due : std::min(due, m_scanDue);
 }
 
@@ -341,6 +346,42 @@
   Send(aAnswer.m_sender.m_peer, std::move(rumour), aActions);
 }
 
+void
+DirectoryFlow::TellSuspects(Moment aMoment)
+{
+  const std::uint64_t suspects =
+    m_shared.m_suspects.With([&](const SuspectTable& aTable) {
+      return DigestOf(aTable.Recent(aMoment.m_now, kSuspectLimit));
+    });
+  if (suspects == m_urgentSuspects) {
+    return;
+  }
+  m_urgentSuspects = suspects;
+  m_urgentDue = m_urgentSent == Instant::min()
+                  ? aMoment.m_now
+                  : std::max(aMoment.m_now, m_urgentSent + kUrgentInterval);
+}
+
+void
+DirectoryFlow::SendUrgent(Moment aMoment, Actions& aActions)
+{
+  m_urgentDue = Instant::max();
+  m_urgentSent = aMoment.m_now;
+  const NodeRow& own = m_view.Own();
+  std::size_t sent = 0;
+  for (const HostName& host : m_view.Hosts()) {
+    const NodeRow* row = m_view.Find(host);
+    if (row == nullptr || row->m_host == own.m_host ||
+        row->m_service != own.m_service) {
+      continue;
+    }
+    Send(row->m_peer, MakeRumour({}, aMoment), aActions);
+    if (++sent == kUrgentPeers) {
+      return;
+    }
+  }
+}
+
 void
 DirectoryFlow::SendNews(std::size_t aPeers, Moment aMoment, Actions& aActions)
 {
--- a/modules/cr_node/flow/cr_DirectoryFlow.h
+++ b/modules/cr_node/flow/cr_DirectoryFlow.h
@@ -38,6 +38,10 @@
       Advance(). */
   void TellChanges(Moment aMoment);
 
+  /** Tells new suspects to the hosts of the own service soon, at most every
+      kUrgentInterval, since a resend may reach them at once. */
+  void TellSuspects(Moment aMoment);
+
   /** Does what is due. */
   void Advance(Moment aMoment, Actions& aActions);
 
@@ -66,6 +70,7 @@
   void TakeRumour(const Rumour& aRumour, RowSource aSource, Moment aMoment);
   void AddAnswerRows(const Rumour& aAsked, Rumour& aAnswer);
   void Repair(const Rumour& aAnswer, Moment aMoment, Actions& aActions);
+  void SendUrgent(Moment aMoment, Actions& aActions);
   void SendNews(std::size_t aPeers, Moment aMoment, Actions& aActions);
   void Send(const Endpoint& aPeer, Rumour aRumour, Actions& aActions);
   void AskForAll(const Endpoint& aPeer, Moment aMoment, Actions& aActions);
@@ -107,6 +112,9 @@
   Generation m_toldGeneration = 0;
   unsigned m_generationTellings = 0;
   std::uint64_t m_toldSuspects = 0;
+  std::uint64_t m_urgentSuspects = 0;
+  Instant m_urgentDue = Instant::max();
+  Instant m_urgentSent = Instant::min();
   unsigned m_suspectTellings = 0;
   bool m_rivalLogged = false;
   std::uint64_t m_sequence = 0;
--- a/modules/cr_node/flow/cr_EntryFlow.cpp
+++ b/modules/cr_node/flow/cr_EntryFlow.cpp
@@ -1,6 +1,7 @@
 #include "cr_node/flow/cr_EntryFlow.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "cr_admission/cr_admission.h"
@@ -62,7 +63,7 @@
 EntryFlow::Start(const CustomerCall& aCall, Moment aMoment, FlowOutput& aOutput)
 {
   m_now = aMoment.m_now;
-  if (IsSuspect(aCall.m_request, aMoment.m_now)) {
+  if (IsRefusedSuspect(aCall.m_request, aCall.m_operation, aMoment.m_now)) {
     Refuse(aCall, Reason::Suspect, aOutput);
     return;
   }
@@ -174,8 +175,10 @@
   m_shared.m_levels.With([&](LevelTable& aTable) {
     aTable.Learn(call->m_header.m_operation, report.m_level, m_now);
   });
+  LearnSuspicion(*call, report, aMoment.m_now);
   AttemptResult result;
-  result.m_answered = report.m_outcome == Outcome::Completed;
+  result.m_answered = report.m_outcome == Outcome::Completed &&
+                      report.m_status < kServerErrorStatus;
   result.m_refused = report.m_outcome == Outcome::NotRun;
   result.m_latency = aMoment.m_now - call->m_attempt->m_started;
   result.m_level = report.m_level;
@@ -238,7 +241,9 @@
     return;
   }
   m_now = aMoment.m_now;
-  ReportAttempt(*call, {}, aMoment.m_now);
+  AttemptResult result;
+  result.m_connectionLost = aEvent.m_result != WithdrawResult::Unknown;
+  ReportAttempt(*call, result, aMoment.m_now);
   call->m_mayHaveRun |= aEvent.m_result != WithdrawResult::NotRun;
   RetryOrEnd(*call, aMoment, aOutput);
 }
@@ -253,7 +258,8 @@
 void
 EntryFlow::TryNext(Call& aCall, Moment aMoment, FlowOutput& aOutput)
 {
-  if (IsSuspect(aCall.m_header.m_request, aMoment.m_now)) {
+  if (IsRefusedSuspect(
+        aCall.m_header.m_request, aCall.m_header.m_operation, aMoment.m_now)) {
     EndUnanswered(aCall, Reason::Suspect, aOutput);
     return;
   }
@@ -280,11 +286,17 @@
   }
   const AttemptId attempt = NextAttemptId();
   aCall.m_tried.push_back(target->m_host);
-  aCall.m_attempt = Attempt{ attempt, *target, aMoment.m_now };
+  const std::uint32_t deaths =
+    m_shared.m_suspects.With([&](const SuspectTable& aTable) {
+      return aTable.Deaths(
+        SuspectKey(aCall.m_header.m_request, aCall.m_header.m_operation));
+    });
+  aCall.m_attempt = Attempt{ attempt, *target, aMoment.m_now, deaths };
   m_attempts.emplace(attempt, aCall.m_id);
   CallHeader header = aCall.m_header;
   header.m_remaining = remaining;
   header.m_grant = grant;
+  header.m_deaths = deaths;
   header.m_generation = configuration->m_generation;
   aOutput.m_actions.emplace_back(ForwardCall{ attempt,
                                               target->m_host,
@@ -503,14 +515,37 @@
 }
 
 bool
-EntryFlow::IsSuspect(const RequestId& aRequest, Instant aNow) const
+EntryFlow::IsRefusedSuspect(const RequestId& aRequest,
+                            const OperationName& aOperation,
+                            Instant aNow) const
 {
   return m_shared.m_policy.m_suspects &&
          m_shared.m_suspects.With([&](const SuspectTable& aTable) {
-           return aTable.IsRefused(aRequest, aNow);
+           return aTable.IsRefused(SuspectKey(aRequest, aOperation), aNow);
          });
 }
 
+/* The gate's answer comes before its news does, and a resend may follow it at
+   once. */
+void
+EntryFlow::LearnSuspicion(const Call& aCall,
+                          const CallReport& aReport,
+                          Instant aNow)
+{
+  const RequestId key =
+    SuspectKey(aCall.m_header.m_request, aCall.m_header.m_operation);
+  const std::uint32_t deaths = aCall.m_attempt->m_deathsBefore + 1;
+  if (aReport.m_reason == Reason::ServerFailed) {
+    m_shared.m_suspects.With([&](SuspectTable& aTable) {
+      aTable.Learn(
+        std::array{ Suspect{ key, deaths, SuspectTable::kSuspicion } }, aNow);
+    });
+  } else if (aReport.m_outcome == Outcome::Completed && deaths > 1) {
+    m_shared.m_suspects.With(
+      [&](SuspectTable& aTable) { aTable.Clear(key, aNow); });
+  }
+}
+
 EntryFlow::Call*
 EntryFlow::FindByAttempt(const AttemptId& aAttempt)
 {
--- a/modules/cr_node/flow/cr_EntryFlow.h
+++ b/modules/cr_node/flow/cr_EntryFlow.h
@@ -87,6 +87,8 @@
     AttemptId m_id;
     RouteTarget m_target;
     Instant m_started;
+    /** Servers known to have died of the request before the attempt. */
+    std::uint32_t m_deathsBefore = 0;
   };
 
   struct Call
@@ -138,7 +140,12 @@
   void ReportAttempt(const Call& aCall,
                      const AttemptResult& aResult,
                      Instant aNow);
-  bool IsSuspect(const RequestId& aRequest, Instant aNow) const;
+  bool IsRefusedSuspect(const RequestId& aRequest,
+                        const OperationName& aOperation,
+                        Instant aNow) const;
+  void LearnSuspicion(const Call& aCall,
+                      const CallReport& aReport,
+                      Instant aNow);
   Call* FindByAttempt(const AttemptId& aAttempt);
   AttemptId NextAttemptId();
 
--- a/modules/cr_node/flow/cr_GateFlow.cpp
+++ b/modules/cr_node/flow/cr_GateFlow.cpp
@@ -1,6 +1,9 @@
 #include "cr_node/flow/cr_GateFlow.h"
 
 #include <algorithm>
+#include <array>
+#include <span>
+#include <utility>
 
 namespace cr {
 
@@ -14,6 +17,15 @@
 /* Longest patience that a service file may state. */
 constexpr Duration kGreatestPatience = Seconds(600);
 
+/* Time within which the calls of a server that died are seen to fail. */
+constexpr Duration kDeathSpread = Milliseconds(500);
+
+RequestId
+KeyOf(const CallHeader& aHeader)
+{
+  return SuspectKey(aHeader.m_request, aHeader.m_operation);
+}
+
 /* Whether calls below the operation lead to the service. Published call graphs
    have no cycles. */
 bool
@@ -69,17 +81,7 @@
     return;
   }
   m_attempts.emplace(aEvent.m_attempt, aEvent.m_call);
-  GateDecisions decisions;
-  m_gate.Offer({ aEvent.m_call,
-                 aEvent.m_header.m_request,
-                 aEvent.m_header.m_operation,
-                 aEvent.m_header.m_importance,
-                 aEvent.m_header.m_depth,
-                 NeedsOwnService(aEvent.m_header.m_operation),
-                 aMoment.m_now + aEvent.m_header.m_remaining },
-               aMoment.m_now,
-               decisions);
-  Carry(decisions, aMoment, aOutput);
+  EnterLane(aEvent.m_call, aMoment, aOutput);
 }
 
 void
@@ -100,11 +102,12 @@
     aOutput.m_actions.emplace_back(CancelHandOver{ aEvent.m_call });
     return;
   }
-  m_gate.Withdraw(aEvent.m_call);
+  Withdraw(aEvent.m_call);
   Refuse(aEvent.m_call, Reason::CallerGone, aOutput);
   GateDecisions decisions;
   m_gate.Advance(aMoment.m_now, decisions);
   Carry(decisions, aMoment, aOutput);
+  AdvanceLane(aMoment, aOutput);
 }
 
 void
@@ -118,7 +121,7 @@
     answer.m_result = WithdrawResult::Unknown;
   } else if (attempt != m_attempts.end()) {
     const CallId id = attempt->second;
-    if (m_gate.Withdraw(id)) {
+    if (Withdraw(id)) {
       Refuse(id, Reason::Withdrawn, aOutput);
       answer.m_result = WithdrawResult::NotRun;
     } else {
@@ -128,6 +131,7 @@
     answer.m_result = SettleAbsent(aEvent.m_attempt, aMoment.m_now);
   }
   aOutput.m_actions.emplace_back(answer);
+  AdvanceLane(aMoment, aOutput);
 }
 
 void
@@ -163,7 +167,12 @@
   report.m_outcome = Outcome::Completed;
   report.m_status = aEvent.m_status;
   report.m_unspent = call->second.m_ledger.Available();
+  m_shared.m_suspects.With(
+    [&, key = KeyOf(call->second.m_header)](SuspectTable& aTable) {
+      aTable.Clear(key, aMoment.m_now);
+    });
   FinishCall(aEvent.m_call, report, aEvent.m_payload, aMoment, aOutput);
+  AdvanceLane(aMoment, aOutput);
 }
 
 void
@@ -177,12 +186,17 @@
   }
   CallReport report;
   report.m_outcome = aEvent.m_sent ? Outcome::Unknown : Outcome::NotRun;
-  report.m_reason = aEvent.m_sent ? Reason::ServerFailed : Reason::NoServer;
+  report.m_reason = aEvent.m_sent ? Reason::ConnectionLost : Reason::NoServer;
+  if (aEvent.m_sent && !aEvent.m_timedOut && !call->second.m_callerGone &&
+      Blame(call->second, aMoment)) {
+    report.m_reason = Reason::ServerFailed;
+  }
   report.m_unspent = call->second.m_ledger.Available();
   FinishCall(aEvent.m_call, report, nullptr, aMoment, aOutput);
   if (aEvent.m_refused) {
     CloseServer(ServerState::Absent, Reason::NoServer, aOutput);
   }
+  AdvanceLane(aMoment, aOutput);
 }
 
 void
@@ -205,6 +219,7 @@
   GateDecisions decisions;
   m_gate.Advance(aMoment.m_now, decisions);
   Carry(decisions, aMoment, aOutput);
+  AdvanceLane(aMoment, aOutput);
 }
 
 std::optional<ChildInheritance>
@@ -313,10 +328,115 @@
   Answer(aCall, report, nullptr, aOutput);
 }
 
+void
+GateFlow::Offer(CallId aCall, Moment aMoment, FlowOutput& aOutput)
+{
+  const Call& call = m_calls.at(aCall);
+  GateDecisions decisions;
+  m_gate.Offer({ aCall,
+                 call.m_header.m_request,
+                 call.m_header.m_operation,
+                 call.m_header.m_importance,
+                 call.m_header.m_depth,
+                 NeedsOwnService(call.m_header.m_operation),
+                 call.m_deadline },
+               aMoment.m_now,
+               decisions);
+  Carry(decisions, aMoment, aOutput);
+}
+
+/* A call that no server died of goes straight to the gate. */
+void
+GateFlow::EnterLane(CallId aCall, Moment aMoment, FlowOutput& aOutput)
+{
+  Call& call = m_calls.at(aCall);
+  const RequestId key = KeyOf(call.m_header);
+  bool isRefused = false;
+  if (m_shared.m_policy.m_suspects) {
+    m_shared.m_suspects.With([&](SuspectTable& aTable) {
+      if (call.m_header.m_deaths > aTable.Deaths(key)) {
+        aTable.Learn(
+          std::array{
+            Suspect{ key, call.m_header.m_deaths, SuspectTable::kSuspicion } },
+          aMoment.m_now);
+      }
+      isRefused = aTable.IsRefused(key, aMoment.m_now);
+      call.m_isSuspect = aTable.IsSuspected(key, aMoment.m_now);
+    });
+  }
+  if (isRefused) {
+    call.m_isSuspect = false;
+    Refuse(aCall, Reason::Suspect, aOutput);
+    return;
+  }
+  const auto entrance = call.m_isSuspect ? m_lane.Enter(aCall, key)
+                                         : SuspectLane::Entrance::RunsNow;
+  if (entrance == SuspectLane::Entrance::RunsNow) {
+    Offer(aCall, aMoment, aOutput);
+  } else if (entrance == SuspectLane::Entrance::Full) {
+    Refuse(aCall, Reason::Overloaded, aOutput);
+  }
+  AdvanceLane(aMoment, aOutput);
+}
+
+void
+GateFlow::AdvanceLane(Moment aMoment, FlowOutput& aOutput)
+{
+  while (const auto next = std::exchange(m_nextSuspect, std::nullopt)) {
+    const RequestId key = KeyOf(m_calls.at(*next).m_header);
+    const bool isRefused =
+      m_shared.m_suspects.With([&](const SuspectTable& aTable) {
+        return aTable.IsRefused(key, aMoment.m_now);
+      });
+    if (isRefused) {
+      Refuse(*next, Reason::Suspect, aOutput);
+    } else {
+      Offer(*next, aMoment, aOutput);
+    }
+  }
+}
+
+bool
+GateFlow::Withdraw(CallId aCall)
+{
+  return m_lane.Waits(aCall) || m_gate.Withdraw(aCall);
+}
+
+/* Returns whether the server's death is put down to the call. When a suspect
+   ran, it alone is blamed. */
+bool
+GateFlow::Blame(const Call& aCall, Moment aMoment)
+{
+  if (!aCall.m_isSuspect &&
+      (aMoment.m_now < m_blamedUntil || RunsBesideSuspect())) {
+    return false;
+  }
+  if (aCall.m_isSuspect) {
+    m_blamedUntil = aMoment.m_now + kDeathSpread;
+  }
+  m_shared.m_suspects.With(
+    [&, key = KeyOf(aCall.m_header)](SuspectTable& aTable) {
+      aTable.ReportDeath(std::span(&key, 1), aMoment.m_now);
+    });
+  return true;
+}
+
+bool
+GateFlow::RunsBesideSuspect() const
+{
+  const std::vector<CallId> running = m_lane.Running();
+  return std::any_of(running.begin(), running.end(), [&](CallId aCall) {
+    return m_calls.at(aCall).m_handedOver;
+  });
+}
+
 void
 GateFlow::CloseServer(ServerState aState, Reason aReason, FlowOutput& aOutput)
 {
   m_server.m_state = aState;
+  for (const CallId call : m_lane.TakeWaiting()) {
+    Refuse(call, aReason, aOutput);
+  }
   GateDecisions decisions;
   m_gate.Close(aReason, decisions);
   Carry(decisions, {}, aOutput);
@@ -380,6 +500,11 @@
 GateFlow::Forget(CallId aCall)
 {
   const auto call = m_calls.find(aCall);
+  if (call->second.m_isSuspect) {
+    if (const auto next = m_lane.Leave(aCall)) {
+      m_nextSuspect = next;
+    }
+  }
   m_memory.Remember(call->second.m_attempt,
                     call->second.m_handedOver ? AttemptFate::HandedOver
                                               : AttemptFate::Withdrawn,
--- a/modules/cr_node/flow/cr_GateFlow.h
+++ b/modules/cr_node/flow/cr_GateFlow.h
@@ -102,6 +102,8 @@
     std::uint32_t m_openChildren = 0;
     Instant m_childSince;
     Duration m_childTime = Duration::zero();
+    /** A server died of the request before; it runs in the lane. */
+    bool m_isSuspect = false;
   };
 
   void Carry(const GateDecisions& aDecisions,
@@ -127,6 +129,12 @@
               PayloadPointer aPayload,
               FlowOutput& aOutput);
   void Refuse(CallId aCall, Reason aReason, FlowOutput& aOutput);
+  void Offer(CallId aCall, Moment aMoment, FlowOutput& aOutput);
+  void EnterLane(CallId aCall, Moment aMoment, FlowOutput& aOutput);
+  void AdvanceLane(Moment aMoment, FlowOutput& aOutput);
+  bool Withdraw(CallId aCall);
+  bool Blame(const Call& aCall, Moment aMoment);
+  bool RunsBesideSuspect() const;
   void CloseServer(ServerState aState, Reason aReason, FlowOutput& aOutput);
   void FinishCall(CallId aCall,
                   const CallReport& aReport,
@@ -142,6 +150,12 @@
   Random m_random;
   Gate m_gate;
   ServerView m_server;
+  SuspectLane m_lane;
+  /** The suspect whose turn has come. */
+  std::optional<CallId> m_nextSuspect;
+  /** A suspect was blamed for the server's death; calls that fail until then
+      ran beside it. */
+  Instant m_blamedUntil = Instant::min();
   bool m_shuttingDown = false;
   KeyLedger m_ledger;
   std::unordered_map<CallId, Call> m_calls;
--- a/modules/cr_process/server/cr_NodeServer.cpp
+++ b/modules/cr_process/server/cr_NodeServer.cpp
@@ -49,6 +49,19 @@
       [&](auto& aMap) { aMap.insert_or_assign(aKey, std::move(aValue)); });
   }
 
+  /* Replaces the value of a key that is there. */
+  bool Replace(const Key& aKey, Value aValue)
+  {
+    return Shard(aKey).With([&](auto& aMap) {
+      const auto found = aMap.find(aKey);
+      if (found == aMap.end()) {
+        return false;
+      }
+      found->second = std::move(aValue);
+      return true;
+    });
+  }
+
   std::optional<Value> Take(const Key& aKey)
   {
     return Shard(aKey).With([&](auto& aMap) -> std::optional<Value> {
@@ -73,6 +86,19 @@
   std::array<Guarded<Map>, kShardCount> m_shards;
 };
 
+/* Starts an exchange that its own callback, or a cancellation, may take out of
+   the map before Send() returns. */
+template<typename Key, typename Send>
+void
+Track(OpenMap<Key, HttpExchange>& aMap, const Key& aKey, const Send& aSend)
+{
+  aMap.Put(aKey, {});
+  const HttpExchange exchange = aSend();
+  if (!aMap.Replace(aKey, exchange)) {
+    exchange.Cancel();
+  }
+}
+
 /* The open answer of a call, and who waits for it. */
 struct OpenCall
 {
@@ -415,9 +441,8 @@
 {
   const AttemptId attempt = aAction.m_attempt;
   const RequestId request = aAction.m_header.m_request;
-  m_attempts.Put(
-    attempt,
-    m_client.Send(
+  Track(m_attempts, attempt, [&] {
+    return m_client.Send(
       aAction.m_peer,
       WriteForwardCall(aAction),
       aAction.m_header.m_remaining,
@@ -436,7 +461,8 @@
         const auto& failure = std::get<HttpFailure>(aResult);
         self->Feed(
           AttemptFailed{ attempt, failure.m_sent, failure.m_timedOut });
-      }));
+      });
+  });
 }
 
 void
@@ -483,9 +509,8 @@
 NodeServer::Implementation::Do(const HandOver& aAction)
 {
   const CallId call = aAction.m_call;
-  m_handOvers.Put(
-    call,
-    m_client.Send(
+  Track(m_handOvers, call, [&] {
+    return m_client.Send(
       aAction.m_server,
       WriteHandOver(aAction),
       aAction.m_header.m_remaining,
@@ -504,8 +529,12 @@
           return;
         }
         const auto& failure = std::get<HttpFailure>(aResult);
-        self->Feed(ServerFailed{ call, failure.m_sent, !failure.m_sent });
-      }));
+        self->Feed(ServerFailed{ call,
+                                 failure.m_sent,
+                                 !failure.m_sent && !failure.m_timedOut,
+                                 failure.m_timedOut });
+      });
+  });
 }
 
 void
--- a/modules/cr_process/wire/cr_CallWire.cpp
+++ b/modules/cr_process/wire/cr_CallWire.cpp
@@ -118,6 +118,8 @@
   return std::to_string(aHeader.m_remaining.count());
 }
 
+constexpr std::string_view kDeathsHeader = "Cr-Deaths";
+constexpr std::uint64_t kGreatestDeaths = 1000;
 constexpr std::string_view kRemainingMicrosecondsHeader = "Cr-Remaining-Us";
 
 unsigned
@@ -229,8 +231,11 @@
   const auto depth = ReadNumber(headers, kDepthHeader, kGreatestDepth);
   const auto generation = ReadNumber(
     headers, kGenerationHeader, std::numeric_limits<std::uint64_t>::max());
+  const auto deaths = FindHeader(headers, kDeathsHeader).empty()
+                        ? Expected<std::uint64_t>(0U)
+                        : ReadNumber(headers, kDeathsHeader, kGreatestDeaths);
   if (!operation || !request || !attempt || !key || !importance || !remaining ||
-      !grant || !depth || !generation) {
+      !grant || !depth || !generation || !deaths) {
     return Failure(ErrorCode::Malformed,
                    "a forwarded call lacks headers or has malformed ones");
   }
@@ -243,7 +248,8 @@
                     Duration(static_cast<Duration::rep>(*remaining)),
                     static_cast<std::uint32_t>(*grant),
                     static_cast<std::uint32_t>(*depth),
-                    *generation };
+                    *generation,
+                    static_cast<std::uint32_t>(*deaths) };
   call.m_payload = ReadPayload(headers, aRequest.m_body);
   return call;
 }
@@ -264,6 +270,9 @@
   Add(headers, kGrantHeader, std::to_string(header.m_grant));
   Add(headers, kDepthHeader, std::to_string(header.m_depth));
   Add(headers, kGenerationHeader, std::to_string(header.m_generation));
+  if (header.m_deaths > 0) {
+    Add(headers, kDeathsHeader, std::to_string(header.m_deaths));
+  }
   AddPayload(headers, request.m_body, aCall.m_payload);
   return request;
 }
--- a/modules/cr_process/wire/cr_RumourWire.cpp
+++ b/modules/cr_process/wire/cr_RumourWire.cpp
@@ -26,6 +26,7 @@
   value.append(ToText(aSuspect.m_request));
   value.append(aSuspect.m_deaths);
   value.append(Json::Int64(ToMilliseconds(aSuspect.m_remaining)));
+  value.append(aSuspect.m_cleared);
   return value;
 }
 
@@ -38,7 +39,8 @@
   }
   return Suspect{ *request,
                   aValue[1U].asUInt(),
-                  Milliseconds(aValue[2U].asInt64()) };
+                  Milliseconds(aValue[2U].asInt64()),
+                  aValue[3U].asUInt() };
 }
 
 Json::Value
--- a/modules/cr_suspects/cr_suspects.h
+++ b/modules/cr_suspects/cr_suspects.h
@@ -1,6 +1,6 @@
 #pragma once
 
-/** Requests that were running when a backend server died, and for how long they
-    are refused. Pure. */
+/** Requests that servers died of: who is suspected and who is refused. Pure. */
 
+#include "cr_suspects/lane/cr_SuspectLane.h"
 #include "cr_suspects/suspects/cr_SuspectTable.h"
--- a/modules/cr_suspects/suspects/cr_SuspectTable.cpp
+++ b/modules/cr_suspects/suspects/cr_SuspectTable.cpp
@@ -1,40 +1,54 @@
 #include "cr_suspects/suspects/cr_SuspectTable.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace cr {
 
 namespace {
 
-constexpr Duration kSuspicion = Seconds(60);
 constexpr std::uint32_t kDeathsBeforeRefusal = 2;
-constexpr std::size_t kEntryLimit = 65536;
+constexpr std::uint32_t kDeathsBeyondClearing = 3;
 
 }
 
+RequestId
+SuspectKey(const RequestId& aRequest, const OperationName& aOperation)
+{
+  return { aRequest.m_high,
+           aRequest.m_low ^ Hash(ToText(aOperation), aRequest.m_high) };
+}
+
 void
 SuspectTable::ReportDeath(std::span<const RequestId> aRunning, Instant aNow)
 {
   for (const RequestId& request : aRunning) {
-    if (m_entries.size() >= kEntryLimit && !m_entries.contains(request)) {
-      continue;
-    }
-    Entry& entry = m_entries[request];
+    Entry& entry = FindOrAdd(request, aNow);
     ++entry.m_deaths;
     entry.m_until = aNow + kSuspicion;
   }
 }
 
+void
+SuspectTable::Clear(const RequestId& aRequest, Instant aNow)
+{
+  const auto entry = m_entries.find(aRequest);
+  if (entry != m_entries.end()) {
+    entry->second.m_cleared = entry->second.m_deaths;
+    entry->second.m_until = aNow + kSuspicion;
+  }
+}
+
 void
 SuspectTable::Learn(std::span<const Suspect> aSuspects, Instant aNow)
 {
   for (const Suspect& suspect : aSuspects) {
-    if (m_entries.size() >= kEntryLimit &&
-        !m_entries.contains(suspect.m_request)) {
+    if (suspect.m_remaining <= Duration::zero()) {
       continue;
     }
-    Entry& entry = m_entries[suspect.m_request];
+    Entry& entry = FindOrAdd(suspect.m_request, aNow);
     entry.m_deaths = std::max(entry.m_deaths, suspect.m_deaths);
+    entry.m_cleared = std::max(entry.m_cleared, suspect.m_cleared);
     entry.m_until =
       std::max(entry.m_until, aNow + std::min(suspect.m_remaining, kSuspicion));
   }
@@ -50,10 +64,25 @@
 
 bool
 SuspectTable::IsRefused(const RequestId& aRequest, Instant aNow) const
+{
+  const Entry* entry = Find(aRequest, aNow);
+  return entry != nullptr &&
+         (entry->m_deaths >= kDeathsBeyondClearing ||
+          entry->m_deaths >= entry->m_cleared + kDeathsBeforeRefusal);
+}
+
+bool
+SuspectTable::IsSuspected(const RequestId& aRequest, Instant aNow) const
+{
+  const Entry* entry = Find(aRequest, aNow);
+  return entry != nullptr && entry->m_deaths > entry->m_cleared;
+}
+
+std::uint32_t
+SuspectTable::Deaths(const RequestId& aRequest) const
 {
   const auto entry = m_entries.find(aRequest);
-  return entry != m_entries.end() && entry->second.m_until > aNow &&
-         entry->second.m_deaths >= kDeathsBeforeRefusal;
+  return entry == m_entries.end() ? 0 : entry->second.m_deaths;
 }
 
 std::vector<Suspect>
@@ -61,14 +90,57 @@
 {
   std::vector<Suspect> suspects;
   for (const auto& [request, entry] : m_entries) {
-    if (suspects.size() == aLimit) {
-      break;
-    }
     if (entry.m_until > aNow) {
-      suspects.push_back({ request, entry.m_deaths, entry.m_until - aNow });
+      suspects.push_back(
+        { request, entry.m_deaths, entry.m_until - aNow, entry.m_cleared });
     }
   }
+  std::sort(suspects.begin(),
+            suspects.end(),
+            [](const Suspect& aFirst, const Suspect& aSecond) {
+              return std::tie(aSecond.m_remaining, aFirst.m_request) <
+                     std::tie(aFirst.m_remaining, aSecond.m_request);
+            });
+  suspects.resize(std::min(suspects.size(), aLimit));
   return suspects;
 }
 
+const SuspectTable::Entry*
+SuspectTable::Find(const RequestId& aRequest, Instant aNow) const
+{
+  const auto entry = m_entries.find(aRequest);
+  return entry != m_entries.end() && entry->second.m_until > aNow
+           ? &entry->second
+           : nullptr;
+}
+
+SuspectTable::Entry&
+SuspectTable::FindOrAdd(const RequestId& aRequest, Instant aNow)
+{
+  if (m_entries.size() >= kEntryLimit && !m_entries.contains(aRequest)) {
+    Advance(aNow);
+  }
+  if (m_entries.size() >= kEntryLimit && !m_entries.contains(aRequest)) {
+    ForgetOne();
+  }
+  Entry& entry = m_entries[aRequest];
+  if (entry.m_until <= aNow) {
+    entry = {};
+  }
+  return entry;
+}
+
+void
+SuspectTable::ForgetOne()
+{
+  const auto least = std::min_element(
+    m_entries.begin(),
+    m_entries.end(),
+    [](const auto& aFirst, const auto& aSecond) {
+      return std::tie(aFirst.second.m_deaths, aFirst.second.m_until) <
+             std::tie(aSecond.second.m_deaths, aSecond.second.m_until);
+    });
+  m_entries.erase(least);
+}
+
 }
