Bound the cost of silent connections; measure what the path adds

Cause: idle connections were trusted for 20 s, each silent one cost a whole timeout, and a withdrawal could go out on another silent connection. Kernel limits are set but not tested on loopback.

--- /dev/null
+++ b/benchmarks/path-latency/main.cpp
@@ -0,0 +1,187 @@
+/* Measures what the path through two nodes adds to a call, against the same
+   call made to the backend server directly, all on loopback in one process. */
+
+#include <algorithm>
+#include <thread>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "cr_process/cr_process.h"
+#include "cr_transport/cr_transport.h"
+#include "platform_stand_in/platform_stand_in.h"
+#include "server_stand_in/server_stand_in.h"
+
+namespace {
+
+constexpr std::uint16_t kPort = 24110;
+constexpr int kWarmUpCalls = 300;
+constexpr int kCalls = 4000;
+constexpr double kTargetP99Ms = 1.3;
+constexpr cr::Duration kCallTimeout = cr::Seconds(5);
+constexpr cr::Duration kReadyLimit = cr::Seconds(20);
+constexpr const char* kServiceFile =
+  R"({ "service": "shop", "operations": { "browse": {
+       "importance": "low", "idempotent": true, "patience_ms": 5000 } } })";
+
+cr::Endpoint
+At(int aOffset)
+{
+  return { "127.0.0.1", static_cast<std::uint16_t>(kPort + aOffset) };
+}
+
+cr::NodeSettings
+SettingsOf(const std::string& aHost, int aOffset)
+{
+  cr::NodeSettings settings;
+  settings.m_host = aHost;
+  settings.m_region = "r";
+  settings.m_dataCentre = "a";
+  settings.m_address = "127.0.0.1";
+  settings.m_callerPort = At(aOffset).m_port;
+  settings.m_peerPort = At(aOffset + 1).m_port;
+  settings.m_operatorPort = At(aOffset + 2).m_port;
+  settings.m_platform = At(0);
+  return settings;
+}
+
+bool
+PublishService(cr::HttpClient& aClient)
+{
+  cr::PublicationRequest request;
+  request.m_files = { { "shop.json", kServiceFile } };
+  request.m_publication = "1";
+  cr::StoreConnection store(aClient, At(0), kCallTimeout);
+  const auto result =
+    cr::Publish(request, [&](const cr::StoreRequest& aRequest) {
+      return store.SendAndWait(aRequest);
+    });
+  return std::holds_alternative<cr::Published>(result);
+}
+
+bool
+WaitUntilReady(const cr::NodeServer& aNode)
+{
+  const cr::Instant limit = cr::IoThreads::Now() + kReadyLimit;
+  while (cr::IoThreads::Now() < limit) {
+    cr::NodeStatus status = aNode.Status();
+    if (status.m_generation > 0 && status.m_hosts["shop"] > 0) {
+      return true;
+    }
+    std::this_thread::sleep_for(cr::Milliseconds(20));
+  }
+  return false;
+}
+
+/* Returns the time of one call in milliseconds; negative when it failed. */
+double
+TimeCall(cr::HttpClient& aClient, const cr::Endpoint& aEndpoint)
+{
+  const cr::Instant start = cr::IoThreads::Now();
+  const cr::HttpResult result = aClient.SendAndWait(
+    aEndpoint, { "POST", "/call/shop/browse", {}, "x" }, kCallTimeout);
+  const cr::Duration taken = cr::IoThreads::Now() - start;
+  const auto* response = std::get_if<cr::HttpResponse>(&result);
+  if (response == nullptr || response->m_status != cr::kHttpOk) {
+    return -1;
+  }
+  return static_cast<double>(taken.count()) / 1000.0;
+}
+
+double
+Quantile(std::vector<double> aTimes, double aShare)
+{
+  std::sort(aTimes.begin(), aTimes.end());
+  const auto index =
+    static_cast<std::size_t>(aShare * static_cast<double>(aTimes.size() - 1));
+  return aTimes.at(index);
+}
+
+struct Times
+{
+  std::vector<double> m_direct;
+  std::vector<double> m_path;
+  int m_failed = 0;
+};
+
+/* Direct calls and calls through the nodes take turns. */
+Times
+Measure(cr::HttpClient& aClient)
+{
+  Times times;
+  for (int call = 0; call < kWarmUpCalls + kCalls; ++call) {
+    const double direct = TimeCall(aClient, At(7));
+    const double path = TimeCall(aClient, At(1));
+    if (direct < 0 || path < 0) {
+      ++times.m_failed;
+    } else if (call >= kWarmUpCalls) {
+      times.m_direct.push_back(direct);
+      times.m_path.push_back(path);
+    }
+  }
+  return times;
+}
+
+int
+Report(const Times& aTimes)
+{
+  if (aTimes.m_direct.empty()) {
+    fmt::print(stderr, "path-latency: no call succeeded\n");
+    return 1;
+  }
+  const auto added = [&](double aShare) {
+    return Quantile(aTimes.m_path, aShare) - Quantile(aTimes.m_direct, aShare);
+  };
+  fmt::print("direct_p50 {:.3f} ms - -\n", Quantile(aTimes.m_direct, 0.5));
+  fmt::print("direct_p99 {:.3f} ms - -\n", Quantile(aTimes.m_direct, 0.99));
+  fmt::print("path_p50 {:.3f} ms - -\n", Quantile(aTimes.m_path, 0.5));
+  fmt::print("path_p99 {:.3f} ms - -\n", Quantile(aTimes.m_path, 0.99));
+  fmt::print("added_p50 {:.3f} ms - -\n", added(0.5));
+  const double p99 = added(0.99);
+  fmt::print("added_p99 {:.3f} ms {} {}\n",
+             p99,
+             kTargetP99Ms,
+             p99 <= kTargetP99Ms ? "pass" : "fail");
+  fmt::print("failed_calls {} calls 0 {}\n",
+             aTimes.m_failed,
+             aTimes.m_failed == 0 ? "pass" : "fail");
+  return p99 <= kTargetP99Ms && aTimes.m_failed == 0 ? 0 : 1;
+}
+
+int
+Run()
+{
+  cr::IoThreads threads(2);
+  cr::HttpClient client(threads, {});
+  cr::PlatformServer platform(threads);
+  if (!platform.Listen(At(0)) || !PublishService(client)) {
+    fmt::print(stderr, "path-latency: the platform cannot be used\n");
+    return 1;
+  }
+  cr::NodeServer entry(SettingsOf("host-1", 1), cr::Incarnation{ 1 });
+  cr::NodeServer gate(SettingsOf("host-2", 4), cr::Incarnation{ 1 });
+  cr::Findings findings;
+  cr::BackendServerPlan plan;
+  plan.m_service = cr::ParseServiceFile("shop.json", kServiceFile, findings);
+  plan.m_node = At(4);
+  plan.m_listen = At(7);
+  plan.m_slots = 4;
+  plan.m_serviceTime = cr::Duration::zero();
+  cr::BackendServer server(threads, plan);
+  if (!entry.Start() || !gate.Start() || !server.Start() ||
+      !WaitUntilReady(entry)) {
+    fmt::print(stderr, "path-latency: the nodes did not get ready\n");
+    return 1;
+  }
+  const int result = Report(Measure(client));
+  threads.Stop();
+  return result;
+}
+
+}
+
+int
+main()
+{
+  return Run();
+}
--- a/modules/cr_process/server/cr_NodeServer.cpp
+++ b/modules/cr_process/server/cr_NodeServer.cpp
@@ -480,7 +480,7 @@
   parameters["attempt"] = ToText(aAction.m_attempt);
   parameters["incarnation"] =
     Json::UInt64(static_cast<std::uint64_t>(aAction.m_incarnation));
-  m_client.Send(
+  m_client.SendOnNewConnection(
     aAction.m_peer,
     { "POST",
       std::string(kRpcPath),
--- a/modules/cr_transport/http/cr_HttpClient.cpp
+++ b/modules/cr_transport/http/cr_HttpClient.cpp
@@ -1,11 +1,15 @@
 #include "cr_transport/http/cr_HttpClient.h"
 
+#include <algorithm>
 #include <future>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <vector>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/strand.hpp>
@@ -53,6 +57,25 @@
   return response;
 }
 
+constexpr int kProbes = 2;
+
+/* Lets the kernel break a connection whose other end is silent. */
+void
+BoundSilence(tcp::socket& aSocket, Duration aLimit)
+{
+  using asio::detail::socket_option::integer;
+  const auto milliseconds = static_cast<int>(ToMilliseconds(aLimit));
+  const int seconds = std::max(1, milliseconds / 1000);
+  beast::error_code ignored;
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  aSocket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(seconds), ignored);
+  aSocket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(seconds), ignored);
+  aSocket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(kProbes), ignored);
+  aSocket.set_option(integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(milliseconds),
+                     ignored);
+}
+
 struct Connection
 {
   explicit Connection(asio::io_context& aContext)
@@ -115,12 +138,13 @@
   Exchange(std::shared_ptr<Implementation> aClient,
            Endpoint aEndpoint,
            HttpRequest&& aRequest,
-           HttpCallback aCallback)
+           HttpCallback aCallback,
+           bool aOnNewConnection)
     : m_client(std::move(aClient))
     , m_endpoint(std::move(aEndpoint))
     , m_message(ToMessage(std::move(aRequest), m_endpoint))
     , m_callback(std::move(aCallback))
-    , m_connection(m_client->TakeIdle(m_endpoint))
+    , m_connection(aOnNewConnection ? nullptr : m_client->TakeIdle(m_endpoint))
     , m_connected(m_connection != nullptr)
   {
     if (!m_connection) {
@@ -146,7 +170,7 @@
   void Cancel()
   {
     asio::dispatch(m_executor, [self = shared_from_this()] {
-      self->Fail("cancelled", true);
+      self->End("cancelled", true);
     });
   }
 
@@ -174,8 +198,8 @@
       Fail(aError.message(), false);
       return;
     }
-    beast::error_code ignored;
-    m_connection->m_stream.socket().set_option(tcp::no_delay(true), ignored);
+    BoundSilence(m_connection->m_stream.socket(),
+                 m_client->m_settings.m_silenceLimit);
     Write();
   }
 
@@ -232,6 +256,14 @@
   }
 
   void Fail(std::string aText, bool aTimedOut)
+  {
+    if (!m_done) {
+      m_client->DropIdle(m_endpoint);
+      End(std::move(aText), aTimedOut);
+    }
+  }
+
+  void End(std::string aText, bool aTimedOut)
   {
     if (m_done) {
       return;
@@ -326,8 +358,33 @@
                  Duration aTimeout,
                  HttpCallback aCallback)
 {
-  auto exchange = std::make_shared<Implementation::Exchange>(
-    m_implementation, aEndpoint, std::move(aRequest), std::move(aCallback));
+  return Start(
+    aEndpoint, std::move(aRequest), aTimeout, std::move(aCallback), false);
+}
+
+HttpExchange
+HttpClient::SendOnNewConnection(const Endpoint& aEndpoint,
+                                HttpRequest aRequest,
+                                Duration aTimeout,
+                                HttpCallback aCallback)
+{
+  return Start(
+    aEndpoint, std::move(aRequest), aTimeout, std::move(aCallback), true);
+}
+
+HttpExchange
+HttpClient::Start(const Endpoint& aEndpoint,
+                  HttpRequest&& aRequest,
+                  Duration aTimeout,
+                  HttpCallback&& aCallback,
+                  bool aOnNewConnection)
+{
+  auto exchange =
+    std::make_shared<Implementation::Exchange>(m_implementation,
+                                               aEndpoint,
+                                               std::move(aRequest),
+                                               std::move(aCallback),
+                                               aOnNewConnection);
   exchange->Start(aTimeout);
   return HttpExchange(
     [weak = std::weak_ptr<Implementation::Exchange>(exchange)] {
--- a/modules/cr_transport/http/cr_HttpClient.h
+++ b/modules/cr_transport/http/cr_HttpClient.h
@@ -32,8 +32,14 @@
 {
   /** Idle connections kept for each endpoint. */
   std::size_t m_idlePerEndpoint = 32;
-  /** Longest time a connection may idle before it is closed. */
-  Duration m_idleLimit = Seconds(20);
+  /** Longest time a connection may idle and still be trusted; after that a new
+      one is opened, as something between the ends may have lost track of it. */
+  Duration m_idleLimit = Seconds(2);
+  /** Longest time that bytes sent on a connection may stay unacknowledged by
+      the other host's kernel, and about a third of the longest silence of that
+      kernel while an answer is awaited. However long an answer takes, the
+     kernel of a live host acknowledges. Whole seconds count. */
+  Duration m_silenceLimit = Seconds(1);
   Duration m_connectTimeout = Seconds(1);
   std::uint64_t m_bodyBytes = 4 * 1024 * 1024;
 };
@@ -62,8 +68,10 @@
 };
 
 /** Sends HTTP requests over pooled connections, one exchange at a time on each.
-    A connection whose exchange failed or was cancelled is closed, never reused.
-    All methods are thread safe. */
+    A connection whose exchange failed or was cancelled is closed, never reused;
+    a failure closes the idle connections to the same endpoint too, so that a
+   dead host costs one timeout and not one for each connection. All methods are
+   thread safe. */
 class HttpClient
 {
 public:
@@ -81,6 +89,12 @@
                     Duration aTimeout,
                     HttpCallback aCallback);
 
+  /** Like Send(), on a connection that is opened for it. */
+  HttpExchange SendOnNewConnection(const Endpoint& aEndpoint,
+                                   HttpRequest aRequest,
+                                   Duration aTimeout,
+                                   HttpCallback aCallback);
+
   /** Closes idle connections to the endpoint. */
   void DropIdle(const Endpoint& aEndpoint);
 
@@ -92,6 +106,13 @@
 
 private:
   class Implementation;
+
+  HttpExchange Start(const Endpoint& aEndpoint,
+                     HttpRequest&& aRequest,
+                     Duration aTimeout,
+                     HttpCallback&& aCallback,
+                     bool aOnNewConnection);
+
   std::shared_ptr<Implementation> m_implementation;
 };
 
