Under load the whole region shares the calls

Cause: own data centre first held while a gate had a threshold but did not yet refuse the call's rank, so gates of other data centres had room. Change: a host whose gate has a threshold, or that is slow, counts as loaded; then the better of two random hosts of the whole region is taken.

--- a/modules/cr_routing/router/cr_Router.cpp
+++ b/modules/cr_routing/router/cr_Router.cpp
@@ -122,42 +122,41 @@
 void
 Router::Index()
 {
-  m_groups = {};
   m_index.clear();
+  std::array<std::size_t, kDistanceCount> counts{};
   for (std::size_t index = 0; index < m_entries.size(); ++index) {
     const RouteTarget& target = m_entries.at(index).m_target;
     m_index.emplace(target.m_host, index);
-    const std::size_t distance =
-      m_policy.m_ownDataCentreFirst
-        ? static_cast<std::size_t>(DistanceOf(target, m_place))
-        : 0;
-    Group& group = m_groups.at(distance);
-    if (group.m_size == 0) {
-      group.m_begin = index;
-    }
-    ++group.m_size;
+    ++counts.at(m_policy.m_ownDataCentreFirst
+                  ? static_cast<std::size_t>(DistanceOf(target, m_place))
+                  : 0);
   }
+  const std::size_t region = counts.at(0) + counts.at(1);
+  m_ownDataCentre = { 0, counts.at(0) };
+  m_ownRegion = { 0, region };
+  m_otherRegions = { region, counts.at(2) };
 }
 
 Router::Entry*
 Router::ChooseAnywhere(const Request& aRequest)
 {
-  Entry* near = nullptr;
-  for (const Group& group : m_groups) {
-    Entry* candidate = ChooseInGroup(group, aRequest);
-    if (candidate == nullptr) {
-      continue;
-    }
-    if (near == nullptr || IsOverloaded(*near, *candidate, aRequest)) {
-      near = candidate;
-    }
-    if (!Refuses(*near, aRequest) &&
-        near->m_health.Latency(UsualLatency(), aRequest.m_now) <=
-          SlowestInHealth(UsualLatency())) {
-      return near;
-    }
+  Entry* chosen = ChooseInGroup(m_ownDataCentre, aRequest);
+  if (chosen != nullptr && !IsLoaded(*chosen, aRequest)) {
+    return chosen;
+  }
+  if (Entry* regional = ChooseInGroup(m_ownRegion, aRequest)) {
+    chosen = regional;
+  }
+  if (chosen != nullptr && !Refuses(*chosen, aRequest) &&
+      !IsSlow(*chosen, aRequest.m_now)) {
+    return chosen;
+  }
+  Entry* remote = ChooseInGroup(m_otherRegions, aRequest);
+  if (remote != nullptr &&
+      (chosen == nullptr || IsOverloaded(*chosen, *remote, aRequest))) {
+    chosen = remote;
   }
-  return near != nullptr ? near : FindLeastEjected(aRequest);
+  return chosen != nullptr ? chosen : FindLeastEjected(aRequest);
 }
 
 Router::Entry*
@@ -271,6 +270,22 @@
   return near > SlowestInHealth(far);
 }
 
+bool
+Router::IsSlow(const Entry& aEntry, Instant aNow) const
+{
+  return aEntry.m_health.Latency(UsualLatency(), aNow) >
+         SlowestInHealth(UsualLatency());
+}
+
+/* A gate with a threshold has more work than it can run, whether or not it
+   would refuse this call; then the whole region shares the load. */
+bool
+Router::IsLoaded(const Entry& aEntry, const Request& aRequest) const
+{
+  return aEntry.m_health.Level(aRequest.m_now).value_or(0) > 0 ||
+         IsSlow(aEntry, aRequest.m_now);
+}
+
 /* Failures and refusals come fast and would make a host look idle and quick;
    so they raise its cost, and never lower its latency. */
 double
--- a/modules/cr_routing/router/cr_Router.h
+++ b/modules/cr_routing/router/cr_Router.h
@@ -67,7 +67,7 @@
     HostHealth m_health;
   };
 
-  /* A part of m_entries: the hosts of one distance. */
+  /* A part of m_entries, which are ordered by distance. */
   struct Group
   {
     std::size_t m_begin = 0;
@@ -93,6 +93,8 @@
   bool IsBetter(const Entry& aFirst,
                 const Entry& aSecond,
                 const Request& aRequest) const;
+  bool IsSlow(const Entry& aEntry, Instant aNow) const;
+  bool IsLoaded(const Entry& aEntry, const Request& aRequest) const;
   bool IsOverloaded(const Entry& aNear,
                     const Entry& aFar,
                     const Request& aRequest) const;
@@ -105,7 +107,10 @@
   Random m_random;
   PolicySwitches m_policy;
   std::vector<Entry> m_entries;
-  std::array<Group, kDistanceCount> m_groups{};
+  Group m_ownDataCentre;
+  /* The own data centre included. */
+  Group m_ownRegion;
+  Group m_otherRegions;
   std::unordered_map<HostName, std::size_t> m_index;
   double m_usualLatencyUs = 0;
 };
