Node shell in four files, one job each

Change: NodeShell with its ports and its actions in files of their own; OpenMap in its own header; NodeServer is the public face. No behaviour changed.

--- a/modules/cr_process/server/cr_NodeServer.h
+++ b/modules/cr_process/server/cr_NodeServer.h
@@ -7,6 +7,8 @@
 
 namespace cr {
 
+class NodeShell;
+
 /** One node as a running server: three HTTP ports, a client for other nodes,
     the backend server and the platform, and a timer. All methods are thread
     safe. @see NodeDecisions */
@@ -34,8 +36,7 @@
   NodeStatus Status() const;
 
 private:
-  class Implementation;
-  std::shared_ptr<Implementation> m_implementation;
+  std::shared_ptr<NodeShell> m_shell;
 };
 
 }
--- /dev/null
+++ b/modules/cr_process/server/cr_NodeShell.cpp
@@ -0,0 +1,178 @@
+#include "cr_process/server/cr_NodeShell.h"
+
+#include <array>
+#include <thread>
+
+#include "cr_process/report/cr_Log.h"
+
+namespace cr {
+
+namespace {
+
+constexpr Duration kStoreTimeout = Seconds(2);
+constexpr Duration kLeavingNotice = Milliseconds(500);
+constexpr Duration kShutdownPoll = Milliseconds(10);
+
+NodeIdentity
+MakeIdentity(const NodeSettings& aSettings, Incarnation aIncarnation)
+{
+  return { aSettings.m_host,
+           aIncarnation,
+           aSettings.m_region,
+           aSettings.m_dataCentre,
+           { aSettings.m_address, aSettings.m_peerPort },
+           Hash(aSettings.m_host, static_cast<std::uint64_t>(aIncarnation)),
+           aSettings.m_contacts };
+}
+
+}
+
+NodeShell::NodeShell(NodeSettings aSettings, Incarnation aIncarnation)
+  : m_settings(std::move(aSettings))
+  , m_decisions(MakeIdentity(m_settings, aIncarnation))
+  , m_threads(m_settings.m_threads)
+  , m_client(m_threads, {})
+  , m_store(m_client, m_settings.m_platform, kStoreTimeout)
+  , m_random(m_decisions.Identity().m_seed)
+{
+}
+
+Expected<void>
+NodeShell::Start()
+{
+  m_callerServer = MakeServer(&NodeShell::HandleCaller);
+  m_peerServer = MakeServer(&NodeShell::HandlePeer);
+  m_operatorServer = std::make_unique<HttpServer>(
+    m_threads,
+    HttpLimits{},
+    [weak = weak_from_this()](const HttpRequest& aRequest,
+                              const HttpResponder& aResponder) {
+      if (const auto self = weak.lock()) {
+        self->HandleOperator(aRequest, aResponder);
+      }
+    });
+  const std::array<std::pair<HttpServer*, std::uint16_t>, 3> ports = { {
+    { m_callerServer.get(), m_settings.m_callerPort },
+    { m_peerServer.get(), m_settings.m_peerPort },
+    { m_operatorServer.get(), m_settings.m_operatorPort },
+  } };
+  for (const auto& [server, port] : ports) {
+    const auto listening = server->Listen({ m_settings.m_address, port });
+    if (!listening) {
+      return tl::unexpected(listening.error());
+    }
+  }
+  Feed(TimerDue{});
+  return {};
+}
+
+std::size_t
+NodeShell::Shutdown()
+{
+  Feed(ShutdownAsked{});
+  Log("node", "leaving; calls in progress go on");
+  std::this_thread::sleep_for(kLeavingNotice);
+  const Instant limit = IoThreads::Now() + m_settings.m_shutdownLimit;
+  const auto inProgress = [this] {
+    return m_callerServer->RequestsInProgress() +
+           m_peerServer->RequestsInProgress();
+  };
+  while (inProgress() > 0 && IoThreads::Now() < limit) {
+    std::this_thread::sleep_for(kShutdownPoll);
+  }
+  const std::size_t cutOff = inProgress();
+  Close();
+  return cutOff;
+}
+
+void
+NodeShell::Close()
+{
+  m_closed = true;
+  for (const auto* server :
+       { &m_callerServer, &m_peerServer, &m_operatorServer }) {
+    if (*server) {
+      (*server)->Close();
+    }
+  }
+  m_threads.Stop();
+}
+
+std::unique_ptr<HttpServer>
+NodeShell::MakeServer(void (NodeShell::*aHandler)(HttpRequest&&,
+                                                  const HttpResponder&))
+{
+  return std::make_unique<HttpServer>(
+    m_threads,
+    HttpLimits{},
+    [weak = weak_from_this(), aHandler](HttpRequest aRequest,
+                                        const HttpResponder& aResponder) {
+      if (const auto self = weak.lock()) {
+        (self.get()->*aHandler)(std::move(aRequest), aResponder);
+      }
+    });
+}
+
+//==============================================================================
+void
+NodeShell::Open(CallId aCall, const HttpResponder& aResponder, bool aFromPeer)
+{
+  m_calls.Put(aCall, { aResponder, aFromPeer });
+  aResponder.WatchCaller([weak = weak_from_this(), aCall] {
+    if (const auto self = weak.lock()) {
+      self->Feed(CallerGone{ aCall });
+    }
+  });
+}
+
+void
+NodeShell::Feed(const Event& aEvent)
+{
+  if (m_closed) {
+    return;
+  }
+  Actions actions;
+  const Moment moment = Now();
+  m_decisions.Handle(aEvent, moment, actions);
+  m_metrics.Observe(aEvent, actions, moment.m_now);
+  for (const Action& action : actions) {
+    std::visit([this](const auto& aTyped) { Do(aTyped); }, action);
+  }
+  ArmTimer();
+}
+
+void
+NodeShell::ArmTimer()
+{
+  const Instant due = m_decisions.NextWakeup();
+  const std::lock_guard lock(m_timerMutex);
+  if (due >= m_armedFor) {
+    return;
+  }
+  m_timer.Cancel();
+  m_armedFor = due;
+  const Duration delay =
+    std::max<Duration>(due - IoThreads::Now(), Milliseconds(1));
+  m_timer = m_threads.After(delay, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self) {
+      return;
+    }
+    {
+      const std::lock_guard armedLock(self->m_timerMutex);
+      self->m_armedFor = Instant::max();
+    }
+    self->Feed(TimerDue{});
+  });
+}
+
+RequestId
+NodeShell::MakeRequestId()
+{
+  return m_random.With([](Random& aRandom) {
+    const std::uint64_t high = aRandom.Next();
+    return RequestId{ high, aRandom.Next() };
+  });
+}
+
+}
--- /dev/null
+++ b/modules/cr_process/server/cr_NodeShellPorts.cpp
@@ -0,0 +1,128 @@
+#include "cr_process/server/cr_NodeShell.h"
+
+#include "cr_process/wire/cr_CallWire.h"
+#include "cr_process/wire/cr_RumourWire.h"
+#include "cr_rpc/cr_rpc.h"
+
+/* What arrives at the ports of a node becomes events. */
+
+namespace cr {
+
+void
+NodeShell::HandleCaller(HttpRequest&& aRequest, const HttpResponder& aResponder)
+{
+  if (aRequest.m_target == kAnnouncePath) {
+    Announce(aRequest, aResponder);
+    return;
+  }
+  if (!FindHeader(aRequest.m_headers, kTokenHeader).empty()) {
+    auto call = ParseChildCall(aRequest);
+    if (!call) {
+      aResponder.Send(
+        MakeTextResponse(kHttpBadRequest, call.error().m_text + "\n"));
+      return;
+    }
+    call->m_call = NextCallId(ShardOf(call->m_parent.m_low));
+    Open(call->m_call, aResponder, false);
+    Feed(*call);
+    return;
+  }
+  auto call = ParseCustomerCall(aRequest, MakeRequestId());
+  if (!call) {
+    const unsigned status = call.error().m_code == ErrorCode::NotFound
+                              ? kHttpNotFound
+                              : kHttpBadRequest;
+    aResponder.Send(MakeTextResponse(status, call.error().m_text + "\n"));
+    return;
+  }
+  call->m_call = NextCallId(ShardOf(call->m_request));
+  Open(call->m_call, aResponder, false);
+  Feed(*call);
+}
+
+void
+NodeShell::HandlePeer(HttpRequest&& aRequest, const HttpResponder& aResponder)
+{
+  if (aRequest.m_target == kRpcPath) {
+    HandleRpc(aRequest, aResponder);
+    return;
+  }
+  auto call = ParsePeerCall(aRequest);
+  if (!call) {
+    aResponder.Send(
+      MakeTextResponse(kHttpBadRequest, call.error().m_text + "\n"));
+    return;
+  }
+  call->m_call = NextCallId(0);
+  Open(call->m_call, aResponder, true);
+  Feed(*call);
+}
+
+void
+NodeShell::HandleOperator(const HttpRequest& aRequest,
+                          const HttpResponder& aResponder)
+{
+  aResponder.Send(
+    AnswerOperator(aRequest.m_target, m_decisions.Status(), m_metrics));
+}
+
+void
+NodeShell::Announce(const HttpRequest& aRequest,
+                    const HttpResponder& aResponder)
+{
+  const auto announced = ParseAnnouncement(aRequest);
+  if (!announced) {
+    aResponder.Send(
+      MakeTextResponse(kHttpBadRequest, announced.error().m_text + "\n"));
+    return;
+  }
+  Feed(*announced);
+  aResponder.Send(MakeTextResponse(kHttpOk, "{}", "application/json"));
+}
+
+/* Feeds an event that is answered at once, and returns its answer. */
+template<typename Answer>
+Json::Value
+NodeShell::AnswerRpc(const Event& aEvent)
+{
+  Actions actions;
+  const Moment moment = Now();
+  m_decisions.Handle(aEvent, moment, actions);
+  m_metrics.Observe(aEvent, actions, moment.m_now);
+  Json::Value result(Json::objectValue);
+  for (const Action& action : actions) {
+    if (const auto* answer = std::get_if<Answer>(&action)) {
+      result = EncodeAnswer(*answer);
+    } else {
+      std::visit([this](const auto& aTyped) { this->Do(aTyped); }, action);
+    }
+  }
+  ArmTimer();
+  return result;
+}
+
+void
+NodeShell::HandleRpc(const HttpRequest& aRequest,
+                     const HttpResponder& aResponder)
+{
+  RpcServer server;
+  server.Bind("withdraw", [this](const Json::Value& aParameters) {
+    return AnswerRpc<AnswerWithdraw>(ParseWithdraw(aParameters, NextCallId(0)));
+  });
+  server.Bind("rumour", [this](const Json::Value& aParameters) {
+    auto rumour = DecodeRumour(aParameters);
+    if (!rumour) {
+      throw Json::RuntimeError(rumour.error().m_text);
+    }
+    return AnswerRpc<AnswerRumour>(
+      RumourArrived{ NextCallId(0), std::move(*rumour) });
+  });
+  server.Bind("object", [this](const Json::Value& aParameters) {
+    return AnswerRpc<AnswerObject>(
+      ParseObjectAsked(aParameters, NextCallId(0)));
+  });
+  aResponder.Send(MakeTextResponse(
+    kHttpOk, server.Answer(aRequest.m_body), "application/json"));
+}
+
+}
