One cancellation type; sending an attempt is a function of its own

Cause: timers and exchanges each had the same class; EntryFlow::TryNext did checks and sending in one. No behaviour changed.

--- a/modules/cr_node/flow/cr_EntryFlow.cpp
+++ b/modules/cr_node/flow/cr_EntryFlow.cpp
@@ -263,14 +263,12 @@
     EndUnanswered(aCall, Reason::Suspect, aOutput);
     return;
   }
-  const Duration remaining = aCall.m_deadline - aMoment.m_now;
-  if (remaining <= Duration::zero()) {
+  if (aCall.m_deadline <= aMoment.m_now) {
     EndUnanswered(aCall, Reason::DeadlineTooShort, aOutput);
     return;
   }
-  const ConfigurationPointer configuration = m_shared.m_configuration.Current();
-  const std::uint32_t grant =
-    aCall.m_ledger.Draw(configuration->FirstTries(aCall.m_header.m_operation));
+  const std::uint32_t grant = aCall.m_ledger.Draw(
+    m_shared.m_configuration.Current()->FirstTries(aCall.m_header.m_operation));
   if (grant == 0) {
     EndUnanswered(aCall, Reason::AttemptsSpent, aOutput);
     return;
@@ -284,24 +282,34 @@
     EndUnanswered(aCall, aCall.m_lastReason, aOutput);
     return;
   }
+  SendAttempt(aCall, *target, grant, aMoment.m_now, aOutput);
+}
+
+void
+EntryFlow::SendAttempt(Call& aCall,
+                       const RouteTarget& aTarget,
+                       std::uint32_t aGrant,
+                       Instant aNow,
+                       FlowOutput& aOutput)
+{
   const AttemptId attempt = NextAttemptId();
-  aCall.m_tried.push_back(target->m_host);
+  aCall.m_tried.push_back(aTarget.m_host);
   const std::uint32_t deaths =
     m_shared.m_suspects.With([&](const SuspectTable& aTable) {
       return aTable.Deaths(
         SuspectKey(aCall.m_header.m_request, aCall.m_header.m_operation));
     });
-  aCall.m_attempt = Attempt{ attempt, *target, aMoment.m_now, deaths };
+  aCall.m_attempt = Attempt{ attempt, aTarget, aNow, deaths };
   m_attempts.emplace(attempt, aCall.m_id);
   CallHeader header = aCall.m_header;
-  header.m_remaining = remaining;
-  header.m_grant = grant;
+  header.m_remaining = aCall.m_deadline - aNow;
+  header.m_grant = aGrant;
   header.m_deaths = deaths;
-  header.m_generation = configuration->m_generation;
+  header.m_generation = m_shared.m_configuration.Current()->m_generation;
   aOutput.m_actions.emplace_back(ForwardCall{ attempt,
-                                              target->m_host,
-                                              target->m_incarnation,
-                                              target->m_peer,
+                                              aTarget.m_host,
+                                              aTarget.m_incarnation,
+                                              aTarget.m_peer,
                                               std::move(header),
                                               aCall.m_payload });
 }
--- a/modules/cr_node/flow/cr_EntryFlow.h
+++ b/modules/cr_node/flow/cr_EntryFlow.h
@@ -124,6 +124,11 @@
                       Importance aImportance,
                       Instant aNow) const;
   void TryNext(Call& aCall, Moment aMoment, FlowOutput& aOutput);
+  void SendAttempt(Call& aCall,
+                   const RouteTarget& aTarget,
+                   std::uint32_t aGrant,
+                   Instant aNow,
+                   FlowOutput& aOutput);
   std::optional<RouteTarget> Choose(const Call& aCall, Instant aNow);
   std::optional<RouteTarget> ChooseOwner(const Call& aCall);
   bool MayRetry(const Call& aCall);
--- a/modules/cr_transport/http/cr_HttpClient.h
+++ b/modules/cr_transport/http/cr_HttpClient.h
@@ -44,28 +44,9 @@
   std::uint64_t m_bodyBytes = 4 * 1024 * 1024;
 };
 
-/** An exchange in progress. Cancel() closes its connection. Thread safe. */
-class HttpExchange
-{
-public:
-  HttpExchange() = default;
-  /** Wraps the function that cancels. */
-  explicit HttpExchange(std::function<void()> aCancel)
-    : m_cancel(std::move(aCancel))
-  {
-  }
-
-  /** Ends the exchange; its callback is still called, with a failure. */
-  void Cancel() const
-  {
-    if (m_cancel) {
-      m_cancel();
-    }
-  }
-
-private:
-  std::function<void()> m_cancel;
-};
+/** An exchange in progress. Cancelling closes its connection; the callback is
+    still called, with a failure. */
+using HttpExchange = Cancellation;
 
 /** Sends HTTP requests over pooled connections, one exchange at a time on each.
     A connection whose exchange failed or was cancelled is closed, never reused;
--- a/modules/cr_transport/io/cr_IoThreads.h
+++ b/modules/cr_transport/io/cr_IoThreads.h
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "cr_core/cr_core.h"
+#include "cr_transport/io/cr_Cancellation.h"
 
 namespace boost::asio {
 class io_context;
@@ -12,29 +13,8 @@
 
 namespace cr {
 
-/** A timer that was started; Cancel() keeps its function from being called if
-    it has not been yet. Thread safe. */
-class TimerHandle
-{
-public:
-  TimerHandle() = default;
-  /** Wraps the function that cancels. */
-  explicit TimerHandle(std::function<void()> aCancel)
-    : m_cancel(std::move(aCancel))
-  {
-  }
-
-  /** Cancels the timer; no effect after it fired. */
-  void Cancel() const
-  {
-    if (m_cancel) {
-      m_cancel();
-    }
-  }
-
-private:
-  std::function<void()> m_cancel;
-};
+/** A timer that was started; cancelling has no effect after it fired. */
+using TimerHandle = Cancellation;
 
 /** A fixed number of threads that run the connections and timers of a process.
 
