Programs share one function that reports a failure

Cause: six main files each had the same Fail(), with the program's name written again although its command description holds it. Change: cr::Fail in cr_command takes the description; the six copies are gone. No behaviour changed.

--- a/benchmarks/corianderrack-load/main.cpp
+++ b/benchmarks/corianderrack-load/main.cpp
@@ -30,20 +30,15 @@
   return description;
 }
 
-int
-Fail(int aCode, const std::string& aText)
-{
-  fmt::print(stderr, "corianderrack-load: {}\n", aText);
-  return aCode;
-}
-
 int
 WriteFile(const std::string& aPath, const std::string& aText)
 {
   std::ofstream file(aPath);
   file << aText << '\n';
   file.close();
-  return file ? cr::kExitOk : Fail(cr::kExitFailure, "cannot write " + aPath);
+  return file
+           ? cr::kExitOk
+           : cr::Fail(Description(), cr::kExitFailure, "cannot write " + aPath);
 }
 
 int
@@ -98,10 +93,10 @@
 {
   cr::LoadRun run(aScenario, aConfiguration);
   if (const auto started = run.StartStandIns(); !started) {
-    return Fail(cr::kExitFailure, started.error().m_text);
+    return cr::Fail(Description(), cr::kExitFailure, started.error().m_text);
   }
   if (const auto ready = run.WaitForNodes(kReadyLimit); !ready) {
-    return Fail(cr::kExitFailure, ready.error().m_text);
+    return cr::Fail(Description(), cr::kExitFailure, ready.error().m_text);
   }
   const cr::LoadResult result = run.SendLoad();
   const auto measures = cr::TakeMeasures(aScenario, aConfiguration, result);
@@ -120,7 +115,8 @@
     return cr::kExitOk;
   }
   if (!IsWhole(result)) {
-    return Fail(cr::kExitFailure, "not every request completed whole");
+    return cr::Fail(
+      Description(), cr::kExitFailure, "not every request completed whole");
   }
   fmt::print("all whole requests completed\n");
   return cr::kExitOk;
@@ -134,12 +130,12 @@
   const auto command = cr::ParseCommand(
     { aArguments, static_cast<std::size_t>(aCount) }, Description());
   if (!command) {
-    return Fail(cr::kExitUsage, command.error().m_text);
+    return cr::Fail(Description(), cr::kExitUsage, command.error().m_text);
   }
   const std::string file = command->Value("scenario");
   const auto text = cr::ReadTextFile(file);
   if (!text) {
-    return Fail(cr::kExitUsage, text.error().m_text);
+    return cr::Fail(Description(), cr::kExitUsage, text.error().m_text);
   }
   cr::Findings findings;
   const cr::Scenario scenario = cr::ParseScenario(file, *text, findings);
--- a/benchmarks/measure-report/main.cpp
+++ b/benchmarks/measure-report/main.cpp
@@ -23,13 +23,6 @@
   return description;
 }
 
-int
-Fail(int aCode, const std::string& aText)
-{
-  fmt::print(stderr, "measure-report: {}\n", aText);
-  return aCode;
-}
-
 /* Results of the runs, by file name; other files are skipped. */
 std::vector<Json::Value>
 ReadRuns(const std::filesystem::path& aFolder)
@@ -72,18 +65,19 @@
   const auto command = cr::ParseCommand(
     { aArguments, static_cast<std::size_t>(aCount) }, Description());
   if (!command) {
-    return Fail(cr::kExitUsage, command.error().m_text);
+    return cr::Fail(Description(), cr::kExitUsage, command.error().m_text);
   }
   const std::filesystem::path folder = command->Value("folder", "out");
   const auto text = cr::ReadTextFile((folder / "measures.txt").string());
   if (!text) {
-    return Fail(cr::kExitUsage, text.error().m_text);
+    return cr::Fail(Description(), cr::kExitUsage, text.error().m_text);
   }
   const auto lines = cr::ParseMeasureLines(*text);
   const auto runs = ReadRuns(folder / "runs");
   if (!WriteFile(folder / "measures.json", cr::WriteMeasureLines(lines)) ||
       !WriteFile(folder / "report.html", cr::WriteHtmlReport(lines, runs))) {
-    return Fail(cr::kExitFailure, "cannot write to " + folder.string());
+    return cr::Fail(
+      Description(), cr::kExitFailure, "cannot write to " + folder.string());
   }
   fmt::print("{} measures and {} runs in {}\n",
              lines.size(),
--- a/modules/cr_command/command/cr_CommandLine.cpp
+++ b/modules/cr_command/command/cr_CommandLine.cpp
@@ -115,4 +115,11 @@
   return command;
 }
 
+int
+Fail(const CommandDescription& aDescription, int aCode, std::string_view aText)
+{
+  fmt::print(stderr, "{}: {}\n", aDescription.m_program, aText);
+  return aCode;
+}
+
 }
--- a/modules/cr_command/command/cr_CommandLine.h
+++ b/modules/cr_command/command/cr_CommandLine.h
@@ -60,4 +60,9 @@
 ParseCommand(std::span<char*> aArguments,
              const CommandDescription& aDescription);
 
+/** Writes the program's name and the text to standard error and returns the
+    exit code, for a main function to end with. Thread safe. */
+int
+Fail(const CommandDescription& aDescription, int aCode, std::string_view aText);
+
 }
--- a/programs/corianderrack-inspect/main.cpp
+++ b/programs/corianderrack-inspect/main.cpp
@@ -36,13 +36,6 @@
   return description;
 }
 
-int
-Fail(int aCode, const std::string& aText)
-{
-  fmt::print(stderr, "corianderrack-inspect: {}\n", aText);
-  return aCode;
-}
-
 /* One run of the program against a node or the platform. */
 class Inspection
 {
@@ -82,7 +75,8 @@
       m_endpoint, { "GET", std::string(cr::kStatusPath), {}, {} }, kTimeout);
     const auto* response = std::get_if<cr::HttpResponse>(&result);
     if (response == nullptr || response->m_status != cr::kHttpOk) {
-      return Fail(cr::kExitFailure, "the node does not answer");
+      return cr::Fail(
+        Description(), cr::kExitFailure, "the node does not answer");
     }
     const auto status = cr::ParseJson(response->m_body);
     if (m_json || !status || !status->isObject()) {
@@ -135,7 +129,7 @@
   {
     const auto head = ReadHead();
     if (!head) {
-      return Fail(cr::kExitFailure, head.error().m_text);
+      return cr::Fail(Description(), cr::kExitFailure, head.error().m_text);
     }
     if (m_json) {
       fmt::print("{}\n", cr::EncodeHead(*head));
@@ -153,7 +147,7 @@
   {
     const auto filter = ReadFilter();
     if (!filter) {
-      return Fail(cr::kExitUsage, filter.error().m_text);
+      return cr::Fail(Description(), cr::kExitUsage, filter.error().m_text);
     }
     const std::string prefix =
       filter->m_kind.empty() ? "" : filter->m_kind + '/';
@@ -181,16 +175,17 @@
   {
     const auto head = ReadHead();
     if (!head) {
-      return Fail(cr::kExitFailure, head.error().m_text);
+      return cr::Fail(Description(), cr::kExitFailure, head.error().m_text);
     }
     const auto text = ReadObject(head->m_manifest);
     const auto manifest =
       text ? cr::DecodeManifest(*text) : tl::unexpected(text.error());
     if (!manifest) {
-      return Fail(cr::kExitFailure, manifest.error().m_text);
+      return cr::Fail(Description(), cr::kExitFailure, manifest.error().m_text);
     }
     if (!aService.empty() && !manifest->m_objects.contains(aService)) {
-      return Fail(cr::kExitFailure, aService + " is not in force");
+      return cr::Fail(
+        Description(), cr::kExitFailure, aService + " is not in force");
     }
     for (const auto& [service, object] : manifest->m_objects) {
       if (!aService.empty() && service != aService) {
@@ -198,7 +193,7 @@
       }
       const auto file = ReadObject(object);
       if (!file) {
-        return Fail(cr::kExitFailure, file.error().m_text);
+        return cr::Fail(Description(), cr::kExitFailure, file.error().m_text);
       }
       PrintFile(service, object, *file);
     }
@@ -258,7 +253,8 @@
         cr::ScanRequest{ aTable, after, kPageLimit, aPrefix });
       const auto* page = std::get_if<cr::RowPage>(&answer);
       if (page == nullptr) {
-        return Fail(cr::kExitFailure, "the platform does not answer");
+        return cr::Fail(
+          Description(), cr::kExitFailure, "the platform does not answer");
       }
       for (const cr::Row& row : page->m_rows) {
         aFunction(row);
@@ -331,16 +327,16 @@
   const auto command = cr::ParseCommand(
     { aArguments, static_cast<std::size_t>(aCount) }, Description());
   if (!command) {
-    return Fail(cr::kExitUsage, command.error().m_text);
+    return cr::Fail(Description(), cr::kExitUsage, command.error().m_text);
   }
   if (const std::string wrong = CheckOperands(*command); !wrong.empty()) {
-    return Fail(cr::kExitUsage, wrong);
+    return cr::Fail(Description(), cr::kExitUsage, wrong);
   }
   const std::string subject = command->m_operands.front();
   const auto endpoint = cr::ParseEndpointText(
     command->Value(subject == "status" ? "node" : "platform"));
   if (!endpoint) {
-    return Fail(cr::kExitUsage, endpoint.error().m_text);
+    return cr::Fail(Description(), cr::kExitUsage, endpoint.error().m_text);
   }
   Inspection inspection(*command, *endpoint);
   return inspection.Run(subject);
--- a/programs/corianderrack-node/main.cpp
+++ b/programs/corianderrack-node/main.cpp
@@ -22,13 +22,6 @@
   return description;
 }
 
-int
-Fail(int aCode, const std::string& aText)
-{
-  fmt::print(stderr, "corianderrack-node: {}\n", aText);
-  return aCode;
-}
-
 /* Signals are blocked in all threads and taken here. */
 int
 WaitForSignal(const sigset_t& aSignals)
@@ -50,7 +43,7 @@
     cr::Incarnation{ static_cast<std::uint64_t>(cr::IoThreads::WallNow()) };
   cr::NodeServer server(aSettings, incarnation);
   if (const auto started = server.Start(); !started) {
-    return Fail(cr::kExitFailure, started.error().m_text);
+    return cr::Fail(Description(), cr::kExitFailure, started.error().m_text);
   }
   cr::Log("node",
           fmt::format("{} serves on {} ports {}, {} and {}",
@@ -73,15 +66,17 @@
   const auto command = cr::ParseCommand(
     { aArguments, static_cast<std::size_t>(aCount) }, Description());
   if (!command) {
-    return Fail(cr::kExitUsage, command.error().m_text);
+    return cr::Fail(Description(), cr::kExitUsage, command.error().m_text);
   }
   if (!command->Has("settings") || !command->m_operands.empty()) {
-    return Fail(cr::kExitUsage, "--settings FILE is needed, and nothing else");
+    return cr::Fail(Description(),
+                    cr::kExitUsage,
+                    "--settings FILE is needed, and nothing else");
   }
   const std::string file = command->Value("settings");
   const auto text = cr::ReadTextFile(file);
   if (!text) {
-    return Fail(cr::kExitUsage, text.error().m_text);
+    return cr::Fail(Description(), cr::kExitUsage, text.error().m_text);
   }
   cr::Findings findings;
   const cr::NodeSettings settings =
--- a/programs/corianderrack-publish/main.cpp
+++ b/programs/corianderrack-publish/main.cpp
@@ -45,13 +45,6 @@
   return description;
 }
 
-int
-Fail(int aCode, const std::string& aText)
-{
-  fmt::print(stderr, "corianderrack-publish: {}\n", aText);
-  return aCode;
-}
-
 std::string
 NewPublicationId()
 {
@@ -122,8 +115,10 @@
 PrintFindings(const cr::Findings& aFindings)
 {
   fmt::print(stderr, "{}", cr::ToText(aFindings));
-  return Fail(cr::kExitUsage,
-              fmt::format("{} findings; nothing changed", aFindings.size()));
+  return cr::Fail(
+    Description(),
+    cr::kExitUsage,
+    fmt::format("{} findings; nothing changed", aFindings.size()));
 }
 
 struct ResultPrinter
@@ -152,18 +147,20 @@
   }
   int operator()(const cr::PublicationConflict& aResult) const
   {
-    return Fail(cr::kExitConflict,
-                fmt::format("conflict: {} published generation {} first; "
-                            "nothing changed",
-                            aResult.m_head.m_operator,
-                            aResult.m_head.m_generation));
+    return cr::Fail(Description(),
+                    cr::kExitConflict,
+                    fmt::format("conflict: {} published generation {} first; "
+                                "nothing changed",
+                                aResult.m_head.m_operator,
+                                aResult.m_head.m_generation));
   }
   int operator()(const cr::PublicationUnsettled& aResult) const
   {
-    return Fail(cr::kExitFailure,
-                fmt::format("{}; repeat with --publication {} to settle it",
-                            aResult.m_text,
-                            m_request.m_publication));
+    return cr::Fail(Description(),
+                    cr::kExitFailure,
+                    fmt::format("{}; repeat with --publication {} to settle it",
+                                aResult.m_text,
+                                m_request.m_publication));
   }
 };
 
@@ -213,10 +210,10 @@
   const auto command = cr::ParseCommand(
     { aArguments, static_cast<std::size_t>(aCount) }, Description());
   if (!command) {
-    return Fail(cr::kExitUsage, command.error().m_text);
+    return cr::Fail(Description(), cr::kExitUsage, command.error().m_text);
   }
   if (const std::string wrong = CheckOptions(*command); !wrong.empty()) {
-    return Fail(cr::kExitUsage, wrong);
+    return cr::Fail(Description(), cr::kExitUsage, wrong);
   }
   if (command->Has("check")) {
     return CheckOnly(*command);
--- a/stand_ins/stand-in-platform/main.cpp
+++ b/stand_ins/stand-in-platform/main.cpp
@@ -20,13 +20,6 @@
   return description;
 }
 
-int
-Fail(int aCode, const std::string& aText)
-{
-  fmt::print(stderr, "stand-in-platform: {}\n", aText);
-  return aCode;
-}
-
 }
 
 int
@@ -35,11 +28,11 @@
   const auto command = cr::ParseCommand(
     { aArguments, static_cast<std::size_t>(aCount) }, Description());
   if (!command) {
-    return Fail(cr::kExitUsage, command.error().m_text);
+    return cr::Fail(Description(), cr::kExitUsage, command.error().m_text);
   }
   const auto endpoint = cr::ParseEndpointText(command->Value("listen"));
   if (!endpoint) {
-    return Fail(cr::kExitUsage, endpoint.error().m_text);
+    return cr::Fail(Description(), cr::kExitUsage, endpoint.error().m_text);
   }
   sigset_t signals;
   sigemptyset(&signals);
@@ -49,7 +42,7 @@
   cr::IoThreads threads(2);
   cr::PlatformServer server(threads);
   if (const auto listening = server.Listen(*endpoint); !listening) {
-    return Fail(cr::kExitFailure, listening.error().m_text);
+    return cr::Fail(Description(), cr::kExitFailure, listening.error().m_text);
   }
   int signal = 0;
   sigwait(&signals, &signal);
