--- a/modules/cr_configuration/publish/cr_ConfigurationRows.h
+++ b/modules/cr_configuration/publish/cr_ConfigurationRows.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "cr_configuration/description/cr_Configuration.h"
-#include "cr_platform/cr_platform.h"
+#include "cr_store/cr_store.h"
 
 namespace cr {
 
--- a/modules/cr_membership/rows/cr_NodeRow.h
+++ b/modules/cr_membership/rows/cr_NodeRow.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-#include "cr_platform/cr_platform.h"
+#include "cr_store/cr_store.h"
 #include "cr_settings/cr_settings.h"
 
 namespace cr {
--- a/modules/cr_ownership/map/cr_OwnershipMap.h
+++ b/modules/cr_ownership/map/cr_OwnershipMap.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "cr_core/cr_core.h"
-#include "cr_platform/cr_platform.h"
+#include "cr_store/cr_store.h"
 #include "cr_settings/cr_settings.h"
 
 namespace cr {
--- a/modules/cr_platform/codec/cr_StoreCodec.cpp
+++ b/modules/cr_store/codec/cr_StoreCodec.cpp
@@ -1,4 +1,4 @@
-#include "cr_platform/codec/cr_StoreCodec.h"
+#include "cr_store/codec/cr_StoreCodec.h"
 
 #include "cr_settings/json/cr_JsonDocument.h"
 
--- a/modules/cr_platform/codec/cr_StoreCodec.h
+++ b/modules/cr_store/codec/cr_StoreCodec.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <string_view>
 
-#include "cr_platform/table/cr_StoreRequest.h"
+#include "cr_store/table/cr_StoreRequest.h"
 
 namespace cr {
 
--- a/modules/cr_platform/cr_platform.h
+++ b/modules/cr_store/cr_store.h
@@ -6,6 +6,6 @@
 
     @see StoreRequest, StoreAnswer, InProcessPlatform */
 
-#include "cr_platform/codec/cr_StoreCodec.h"
-#include "cr_platform/table/cr_InProcessPlatform.h"
-#include "cr_platform/table/cr_StoreRequest.h"
+#include "cr_store/codec/cr_StoreCodec.h"
+#include "cr_store/table/cr_InProcessPlatform.h"
+#include "cr_store/table/cr_StoreRequest.h"
--- a/modules/cr_platform/table/cr_InProcessPlatform.cpp
+++ b/modules/cr_store/table/cr_InProcessPlatform.cpp
@@ -1,4 +1,4 @@
-#include "cr_platform/table/cr_InProcessPlatform.h"
+#include "cr_store/table/cr_InProcessPlatform.h"
 
 namespace cr {
 
--- a/modules/cr_platform/table/cr_InProcessPlatform.h
+++ b/modules/cr_store/table/cr_InProcessPlatform.h
@@ -4,7 +4,7 @@
 #include <mutex>
 #include <string>
 
-#include "cr_platform/table/cr_StoreRequest.h"
+#include "cr_store/table/cr_StoreRequest.h"
 
 namespace cr {
 
--- a/modules/cr_transport/http/cr_StoreConnection.h
+++ b/modules/cr_transport/http/cr_StoreConnection.h
@@ -2,7 +2,7 @@
 
 #include <functional>
 
-#include "cr_platform/cr_platform.h"
+#include "cr_store/cr_store.h"
 #include "cr_transport/http/cr_HttpClient.h"
 
 namespace cr {
--- a/stand_ins/platform_stand_in/server/cr_PlatformServer.h
+++ b/stand_ins/platform_stand_in/server/cr_PlatformServer.h
@@ -2,7 +2,7 @@
 
 #include <memory>
 
-#include "cr_platform/cr_platform.h"
+#include "cr_store/cr_store.h"
 #include "cr_transport/cr_transport.h"
 
 namespace cr {
