Transport passes any HTTP request and answer through unchanged

Cause: requests that are not the product's own calls need any method, repeated headers, HEAD, answers without length, answers before the body's end, and answers that belong to former requests told apart. Change: client writes and reads at once, checks an echoed header, may resend on a stale kept connection, bounds a connection's idle time by request; server reads the header under its own limit, bounds the bytes held over all connections, takes new limits, and can close after each answer.

--- a/modules/cr_routes/table/cr_RouteHolder.h
+++ b/modules/cr_routes/table/cr_RouteHolder.h
@@ -18,10 +18,7 @@
   const RouteTablePointer& Current() const { return m_current; }
 
   /** Returns the generation in force; 0 when there is none. */
-  Generation InForce() const
-  {
-    return m_current->Configuration().m_generation;
-  }
+  Generation InForce() const { return m_current->Configuration().m_generation; }
 
 private:
   RouteTablePointer m_current = std::make_shared<RouteTable>();
--- a/modules/cr_routes/table/cr_RouteTable.cpp
+++ b/modules/cr_routes/table/cr_RouteTable.cpp
@@ -45,12 +45,11 @@
     return nullptr;
   }
   const std::string_view path = aTarget.substr(0, aTarget.find('?'));
-  const auto route =
-    std::find_if(host->second.begin(),
-                 host->second.end(),
-                 [&](const RouteDescription* aRoute) {
-                   return path.starts_with(aRoute->m_prefix);
-                 });
+  const auto route = std::find_if(host->second.begin(),
+                                  host->second.end(),
+                                  [&](const RouteDescription* aRoute) {
+                                    return path.starts_with(aRoute->m_prefix);
+                                  });
   return route != host->second.end() ? *route : nullptr;
 }
 
--- a/modules/cr_routes/tests/cr_RouteTableTest.cpp
+++ b/modules/cr_routes/tests/cr_RouteTableTest.cpp
@@ -39,11 +39,11 @@
 
 TEST(RouteTable, LongestPrefixOfTheHostCounts)
 {
-  const RouteTable table(MakeConfiguration(
-    1,
-    { MakeRoute("short", "one.example", "/a/"),
-      MakeRoute("long", "one.example", "/a/b/"),
-      MakeRoute("other", "two.example", "/a/b/c/") }));
+  const RouteTable table(
+    MakeConfiguration(1,
+                      { MakeRoute("short", "one.example", "/a/"),
+                        MakeRoute("long", "one.example", "/a/b/"),
+                        MakeRoute("other", "two.example", "/a/b/c/") }));
   EXPECT_EQ(NameAt(table, "one.example", "/a/x"), "short");
   EXPECT_EQ(NameAt(table, "one.example", "/a/b/c/d"), "long");
   EXPECT_EQ(NameAt(table, "two.example", "/a/b/c/d?x=/"), "other");
--- a/modules/cr_transport/http/cr_HttpClient.cpp
+++ b/modules/cr_transport/http/cr_HttpClient.cpp
@@ -36,7 +36,11 @@
   message.target(aRequest.m_target);
   message.set(http::field::host, ToText(aEndpoint));
   for (const HttpHeader& header : aRequest.m_headers) {
-    message.set(header.m_name, header.m_value);
+    if (IsSameHeader(header.m_name, "Host")) {
+      message.set(http::field::host, header.m_value);
+    } else {
+      message.insert(header.m_name, header.m_value);
+    }
   }
   message.body() = std::move(aRequest.m_body);
   message.keep_alive(true);
@@ -58,6 +62,9 @@
 }
 
 constexpr int kProbes = 2;
+/* Answers to former requests that are dropped before the connection is given
+   up. */
+constexpr int kDropLimit = 3;
 
 /* Lets the kernel break a connection whose other end is silent. */
 void
@@ -117,7 +124,7 @@
   {
   }
 
-  ConnectionPointer TakeIdle(const Endpoint& aEndpoint);
+  ConnectionPointer TakeIdle(const Endpoint& aEndpoint, Duration aIdleLimit);
   void KeepIdle(const Endpoint& aEndpoint, ConnectionPointer aConnection);
   void DropIdle(const Endpoint& aEndpoint);
   void Close();
@@ -138,14 +145,17 @@
   Exchange(std::shared_ptr<Implementation> aClient,
            Endpoint aEndpoint,
            HttpRequest&& aRequest,
-           HttpCallback aCallback,
-           bool aOnNewConnection)
+           HttpSendOptions aOptions,
+           HttpCallback aCallback)
     : m_client(std::move(aClient))
     , m_endpoint(std::move(aEndpoint))
+    , m_options(std::move(aOptions))
     , m_message(ToMessage(std::move(aRequest), m_endpoint))
     , m_callback(std::move(aCallback))
-    , m_connection(aOnNewConnection ? nullptr : m_client->TakeIdle(m_endpoint))
-    , m_connected(m_connection != nullptr)
+    , m_connection(m_client->TakeIdle(
+        m_endpoint,
+        m_options.m_idleLimit.value_or(m_client->m_settings.m_idleLimit)))
+    , m_reused(m_connection != nullptr)
   {
     if (!m_connection) {
       m_connection = std::make_unique<Connection>(m_client->m_context);
@@ -154,16 +164,16 @@
     m_deadline.emplace(m_executor);
   }
 
-  void Start(Duration aTimeout)
+  void Start()
   {
-    asio::dispatch(m_executor, [self = shared_from_this(), aTimeout] {
-      self->m_deadline->expires_after(aTimeout);
+    asio::dispatch(m_executor, [self = shared_from_this()] {
+      self->m_deadline->expires_after(self->m_options.m_timeout);
       self->m_deadline->async_wait([self](const beast::error_code& aError) {
         if (!aError) {
           self->Fail("timed out", true);
         }
       });
-      self->m_connected ? self->Write() : self->Connect();
+      self->m_reused ? self->WriteAndRead() : self->Connect();
     });
   }
 
@@ -175,6 +185,8 @@
   }
 
 private:
+  using Parser = http::response_parser<http::string_body>;
+
   void Connect()
   {
     beast::error_code error;
@@ -195,58 +207,72 @@
       return;
     }
     if (aError) {
+      m_unreachable = true;
       Fail(aError.message(), false);
       return;
     }
     BoundSilence(m_connection->m_stream.socket(),
                  m_client->m_settings.m_silenceLimit);
-    Write();
+    WriteAndRead();
   }
 
-  void Write()
+  /* Writes and reads at once: the other end may answer before it has read all
+     of a long body. */
+  void WriteAndRead()
   {
     if (m_done) {
       return;
     }
     m_sent = true;
     m_connection->m_stream.expires_never();
-    http::async_write(
-      m_connection->m_stream,
-      m_message,
-      beast::bind_front_handler(&Exchange::Written, shared_from_this()));
+    http::async_write(m_connection->m_stream,
+                      m_message,
+                      [self = shared_from_this(), round = m_round](
+                        beast::error_code aError, std::size_t /*aBytes*/) {
+                        self->m_written = self->m_written ||
+                                          (!aError && round == self->m_round);
+                      });
+    ReadAnswer();
   }
 
-  void Written(beast::error_code aError, std::size_t /*aBytes*/)
+  void ReadAnswer()
   {
-    if (m_done) {
-      return;
-    }
-    if (aError) {
-      Fail(aError.message(), false);
-      return;
-    }
-    m_parser.body_limit(m_client->m_settings.m_bodyBytes);
+    m_parser.emplace();
+    m_parser->body_limit(m_client->m_settings.m_bodyBytes);
+    m_parser->skip(m_message.method() == http::verb::head);
     http::async_read(
       m_connection->m_stream,
       m_connection->m_buffer,
-      m_parser,
+      *m_parser,
       beast::bind_front_handler(&Exchange::Read, shared_from_this()));
   }
 
-  void Read(beast::error_code aError, std::size_t /*aBytes*/)
+  void Read(beast::error_code aError, std::size_t aBytes)
   {
     if (m_done) {
       return;
     }
     if (aError) {
+      if (aBytes == 0 && !m_parser->got_some() && IsResendDue()) {
+        Resend();
+        return;
+      }
       Fail(aError.message(), false);
       return;
     }
+    if (!IsMine() && m_parser->keep_alive() && ++m_dropped <= kDropLimit) {
+      ReadAnswer();
+      return;
+    }
+    if (!IsMine()) {
+      Fail("an answer to another request", false);
+      return;
+    }
     m_done = true;
     m_deadline->cancel();
-    auto message = m_parser.release();
+    auto message = m_parser->release();
     const bool reusable =
-      message.keep_alive() && m_connection->m_buffer.size() == 0;
+      message.keep_alive() && m_written && m_connection->m_buffer.size() == 0;
     if (reusable) {
       m_client->KeepIdle(m_endpoint, std::move(m_connection));
     } else {
@@ -255,6 +281,37 @@
     Finish(ToResponse(std::move(message)));
   }
 
+  bool IsMine() const
+  {
+    if (m_options.m_echoedHeader.empty()) {
+      return true;
+    }
+    const auto& answer = m_parser->get();
+    const auto echoed = answer.find(m_options.m_echoedHeader);
+    if (echoed == answer.end()) {
+      return http::to_status_class(answer.result()) !=
+             http::status_class::successful;
+    }
+    return echoed->value() == m_message[m_options.m_echoedHeader];
+  }
+
+  bool IsResendDue() const
+  {
+    return m_reused && m_options.m_resendIfStale && m_dropped == 0;
+  }
+
+  /* The other end closed the kept connection while it idled. */
+  void Resend()
+  {
+    m_reused = false;
+    m_written = false;
+    ++m_round;
+    m_connection->m_stream.close();
+    m_stale = std::move(m_connection);
+    m_connection = std::make_unique<Connection>(m_client->m_context);
+    Connect();
+  }
+
   void Fail(std::string aText, bool aTimedOut)
   {
     if (!m_done) {
@@ -271,7 +328,7 @@
     m_done = true;
     m_deadline->cancel();
     CloseConnection();
-    Finish(HttpFailure{ m_sent, aTimedOut, std::move(aText) });
+    Finish(HttpFailure{ m_sent, aTimedOut, m_unreachable, std::move(aText) });
   }
 
   /* The connection object stays until pending handlers have run. */
@@ -285,28 +342,42 @@
 
   std::shared_ptr<Implementation> m_client;
   Endpoint m_endpoint;
+  HttpSendOptions m_options;
   http::request<http::string_body> m_message;
-  http::response_parser<http::string_body> m_parser;
+  std::optional<Parser> m_parser;
   HttpCallback m_callback;
   ConnectionPointer m_connection;
+  /* A closed connection whose handlers may still be pending. */
+  ConnectionPointer m_stale;
   asio::any_io_executor m_executor;
   std::optional<asio::steady_timer> m_deadline;
-  bool m_connected;
+  bool m_reused;
+  bool m_written = false;
   bool m_sent = false;
+  bool m_unreachable = false;
   bool m_done = false;
+  int m_dropped = 0;
+  int m_round = 0;
 };
 
 ConnectionPointer
-HttpClient::Implementation::TakeIdle(const Endpoint& aEndpoint)
+HttpClient::Implementation::TakeIdle(const Endpoint& aEndpoint,
+                                     Duration aIdleLimit)
 {
+  const Duration limit = std::min(aIdleLimit, m_settings.m_idleLimit);
   const std::lock_guard lock(m_mutex);
-  auto& idle = m_idle[aEndpoint];
+  auto& idleConnections = m_idle[aEndpoint];
   const Instant now = IoThreads::Now();
-  while (!idle.empty()) {
-    ConnectionPointer connection = std::move(idle.back());
-    idle.pop_back();
-    const bool fresh = now - connection->m_idleSince < m_settings.m_idleLimit;
-    if (fresh && !IsStale(*connection)) {
+  while (!idleConnections.empty()) {
+    ConnectionPointer connection = std::move(idleConnections.back());
+    idleConnections.pop_back();
+    const Duration idle = now - connection->m_idleSince;
+    if (idle >= limit && idle < m_settings.m_idleLimit) {
+      // The others idled longer still; they serve requests that may run again.
+      idleConnections.push_back(std::move(connection));
+      return nullptr;
+    }
+    if (idle < limit && !IsStale(*connection)) {
       return connection;
     }
   }
@@ -358,8 +429,9 @@
                  Duration aTimeout,
                  HttpCallback aCallback)
 {
-  return Start(
-    aEndpoint, std::move(aRequest), aTimeout, std::move(aCallback), false);
+  HttpSendOptions options;
+  options.m_timeout = aTimeout;
+  return Send(aEndpoint, std::move(aRequest), options, std::move(aCallback));
 }
 
 HttpExchange
@@ -368,24 +440,25 @@
                                 Duration aTimeout,
                                 HttpCallback aCallback)
 {
-  return Start(
-    aEndpoint, std::move(aRequest), aTimeout, std::move(aCallback), true);
+  HttpSendOptions options;
+  options.m_timeout = aTimeout;
+  options.m_idleLimit = Duration::zero();
+  return Send(aEndpoint, std::move(aRequest), options, std::move(aCallback));
 }
 
 HttpExchange
-HttpClient::Start(const Endpoint& aEndpoint,
-                  HttpRequest&& aRequest,
-                  Duration aTimeout,
-                  HttpCallback&& aCallback,
-                  bool aOnNewConnection)
+HttpClient::Send(const Endpoint& aEndpoint,
+                 HttpRequest aRequest,
+                 const HttpSendOptions& aOptions,
+                 HttpCallback aCallback)
 {
   auto exchange =
     std::make_shared<Implementation::Exchange>(m_implementation,
                                                aEndpoint,
                                                std::move(aRequest),
-                                               std::move(aCallback),
-                                               aOnNewConnection);
-  exchange->Start(aTimeout);
+                                               aOptions,
+                                               std::move(aCallback));
+  exchange->Start();
   return HttpExchange(
     [weak = std::weak_ptr<Implementation::Exchange>(exchange)] {
       if (const auto strong = weak.lock()) {
--- a/modules/cr_transport/http/cr_HttpClient.h
+++ b/modules/cr_transport/http/cr_HttpClient.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -18,6 +19,8 @@
   bool m_sent = false;
   /** True when the exchange was cancelled or took too long. */
   bool m_timedOut = false;
+  /** True when no connection could be opened. */
+  bool m_unreachable = false;
   std::string m_text;
 };
 
@@ -44,6 +47,23 @@
   std::uint64_t m_bodyBytes = 4 * 1024 * 1024;
 };
 
+/** How one request is sent. */
+struct HttpSendOptions
+{
+  /** Longest time until the whole answer. */
+  Duration m_timeout = Seconds(1);
+  /** Longest time that a connection may have idled; at most that of the
+      settings, which holds when nothing is given. Zero opens a new one. */
+  std::optional<Duration> m_idleLimit;
+  /** Header that an answer repeats from the request; empty for none. A whole
+      answer that has another value there belongs to another request and is
+      dropped, and the next one on the connection is read. */
+  std::string m_echoedHeader;
+  /** Send once more, on a new connection, when a kept connection breaks before
+      the first byte of an answer. Only for requests that may run again. */
+  bool m_resendIfStale = false;
+};
+
 /** An exchange in progress. Cancelling closes its connection; the callback is
     still called, with a failure. */
 using HttpExchange = Cancellation;
@@ -70,6 +90,14 @@
                     Duration aTimeout,
                     HttpCallback aCallback);
 
+  /** Sends the request as the options say, and calls back within their
+      timeout. An answer that arrives before the whole request is sent is an
+      answer. */
+  HttpExchange Send(const Endpoint& aEndpoint,
+                    HttpRequest aRequest,
+                    const HttpSendOptions& aOptions,
+                    HttpCallback aCallback);
+
   /** Like Send(), on a connection that is opened for it. */
   HttpExchange SendOnNewConnection(const Endpoint& aEndpoint,
                                    HttpRequest aRequest,
@@ -88,12 +116,6 @@
 private:
   class Implementation;
 
-  HttpExchange Start(const Endpoint& aEndpoint,
-                     HttpRequest&& aRequest,
-                     Duration aTimeout,
-                     HttpCallback&& aCallback,
-                     bool aOnNewConnection);
-
   std::shared_ptr<Implementation> m_implementation;
 };
 
--- a/modules/cr_transport/http/cr_HttpMessage.h
+++ b/modules/cr_transport/http/cr_HttpMessage.h
@@ -25,6 +25,8 @@
   std::string m_target = "/";
   HttpHeaders m_headers;
   std::string m_body;
+  /** IP address of the sender; set by a server. */
+  std::string m_sender{};
 };
 
 /** Status codes that the product sends. */
@@ -42,6 +44,8 @@
   unsigned m_status = kHttpOk;
   HttpHeaders m_headers;
   std::string m_body;
+  /** The connection ends after this response. */
+  bool m_close = false;
 };
 
 /** Returns the value of the first header with the name, case ignored; empty
@@ -49,6 +53,15 @@
 std::string_view
 FindHeader(std::span<const HttpHeader> aHeaders, std::string_view aName);
 
+/** Removes the headers that concern one connection only (RFC 9110, section
+    7.6.1) and those that a Connection header names. Thread safe. */
+void
+RemoveConnectionHeaders(HttpHeaders& aHeaders);
+
+/** Returns whether two header names are the same, case ignored. Thread safe. */
+bool
+IsSameHeader(std::string_view aFirst, std::string_view aSecond);
+
 /** Builds a response that carries text. Thread safe. */
 HttpResponse
 MakeTextResponse(unsigned aStatus,
--- a/modules/cr_transport/http/cr_HttpServer.cpp
+++ b/modules/cr_transport/http/cr_HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "cr_transport/http/cr_HttpServer.h"
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
 #include <optional>
@@ -38,18 +39,31 @@
   return request;
 }
 
+bool
+IsWithoutBody(unsigned aStatus)
+{
+  constexpr unsigned noContent = 204;
+  constexpr unsigned notModified = 304;
+  return aStatus == noContent || aStatus == notModified;
+}
+
+/* An answer to HEAD tells the length of a body that it does not carry. */
 http::response<http::string_body>
-ToMessage(HttpResponse&& aResponse, bool aKeepAlive)
+ToMessage(HttpResponse&& aResponse, bool aKeepAlive, bool aToHead)
 {
   http::response<http::string_body> message;
   message.version(kHttpVersion);
   message.result(aResponse.m_status);
   for (const HttpHeader& header : aResponse.m_headers) {
-    message.set(header.m_name, header.m_value);
+    message.insert(header.m_name, header.m_value);
   }
-  message.body() = std::move(aResponse.m_body);
   message.keep_alive(aKeepAlive);
-  message.prepare_payload();
+  if (aToHead) {
+    message.content_length(aResponse.m_body.size());
+  } else if (!IsWithoutBody(aResponse.m_status)) {
+    message.body() = std::move(aResponse.m_body);
+    message.prepare_payload();
+  }
   return message;
 }
 
@@ -101,13 +115,21 @@
   void Add(const std::shared_ptr<Session>& aSession);
   void Remove(const std::shared_ptr<Session>& aSession);
 
-  const HttpLimits m_limits;
+  HttpLimits Limits() const
+  {
+    const std::lock_guard lock(m_mutex);
+    return m_limits;
+  }
+
+  HttpLimits m_limits;
   const HttpHandler m_handler;
   tcp::acceptor m_acceptor;
   asio::io_context& m_context;
   std::atomic<std::size_t> m_inProgress{ 0 };
+  std::atomic<std::uint64_t> m_heldBytes{ 0 };
   std::atomic<bool> m_stopping{ false };
-  std::mutex m_mutex;
+  std::atomic<bool> m_closesAfterAnswers{ false };
+  mutable std::mutex m_mutex;
   std::unordered_set<std::shared_ptr<Session>> m_sessions;
 };
 
@@ -126,6 +148,8 @@
     beast::error_code ignored;
     m_stream.socket().set_option(tcp::no_delay(true), ignored);
     m_stream.socket().non_blocking(true, ignored);
+    const auto sender = m_stream.socket().remote_endpoint(ignored);
+    m_sender = sender.address().to_string();
     asio::dispatch(m_stream.get_executor(),
                    [self = shared_from_this()] { self->ReadFirstByte(); });
   }
@@ -168,7 +192,8 @@
       ReadRequest();
       return;
     }
-    m_stream.expires_after(m_server->m_limits.m_idle);
+    m_limits = m_server->Limits();
+    m_stream.expires_after(m_limits.m_idle);
     m_stream.socket().async_wait(
       tcp::socket::wait_read,
       beast::bind_front_handler(&Session::FirstByteReady, shared_from_this()));
@@ -180,7 +205,7 @@
   void ArmIdle()
   {
     m_idleTimer.emplace(m_stream.get_executor());
-    m_idleTimer->expires_after(m_server->m_limits.m_idle);
+    m_idleTimer->expires_after(m_limits.m_idle);
     m_idleTimer->async_wait(
       [weak = weak_from_this()](const beast::error_code& aError) {
         const auto self = weak.lock();
@@ -203,9 +228,33 @@
   void ReadRequest()
   {
     m_parser.emplace();
-    m_parser->header_limit(m_server->m_limits.m_headerBytes);
-    m_parser->body_limit(m_server->m_limits.m_bodyBytes);
-    m_stream.expires_after(m_server->m_limits.m_transfer);
+    m_parser->header_limit(m_limits.m_headerBytes);
+    m_parser->body_limit(m_limits.m_bodyBytes);
+    m_stream.expires_after(m_limits.m_header);
+    http::async_read_header(
+      m_stream,
+      m_buffer,
+      *m_parser,
+      beast::bind_front_handler(&Session::HeaderRead, shared_from_this()));
+  }
+
+  void HeaderRead(beast::error_code aError, std::size_t aBytes)
+  {
+    if (aError || m_parser->is_done()) {
+      RequestRead(aError, aBytes);
+      return;
+    }
+    const std::uint64_t held = m_server->m_heldBytes;
+    const std::uint64_t room =
+      m_limits.m_heldBodyBytes - std::min(held, m_limits.m_heldBodyBytes);
+    const std::uint64_t length = m_parser->content_length().value_or(0);
+    if (length > room || room == 0) {
+      Refuse(kHttpUnavailable, "no room for the body");
+      return;
+    }
+    m_parser->body_limit(std::min(m_limits.m_bodyBytes, room));
+    Hold(length);
+    m_stream.expires_after(m_limits.m_transfer);
     http::async_read(
       m_stream,
       m_buffer,
@@ -213,6 +262,16 @@
       beast::bind_front_handler(&Session::RequestRead, shared_from_this()));
   }
 
+  /* Counts the bytes of this connection's request among those held. */
+  void Hold(std::uint64_t aBytes)
+  {
+    m_server->m_heldBytes += aBytes;
+    m_server->m_heldBytes -= std::exchange(m_heldBytes, aBytes);
+  }
+
+  void Begin();
+  void Refuse(unsigned aStatus, std::string aText);
+
   void RequestRead(beast::error_code aError, std::size_t /*aBytes*/);
 
   void WaitForClose(std::uint64_t aSequence)
@@ -261,9 +320,10 @@
       beast::error_code ignored;
       m_stream.socket().cancel(ignored);
     }
-    m_keepAlive = m_keepAlive && !m_server->m_stopping;
-    m_answer.emplace(ToMessage(std::move(aResponse), m_keepAlive));
-    m_stream.expires_after(m_server->m_limits.m_transfer);
+    m_keepAlive = m_keepAlive && !aResponse.m_close && !m_server->m_stopping &&
+                  !m_server->m_closesAfterAnswers;
+    m_answer.emplace(ToMessage(std::move(aResponse), m_keepAlive, m_isHead));
+    m_stream.expires_after(m_limits.m_transfer);
     http::async_write(
       m_stream,
       *m_answer,
@@ -273,6 +333,7 @@
   void AnswerWritten(beast::error_code aError, std::size_t /*aBytes*/)
   {
     m_answer.reset();
+    Hold(0);
     if (m_counted) {
       m_counted = false;
       --m_server->m_inProgress;
@@ -298,7 +359,7 @@
   {
     beast::error_code ignored;
     m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-    m_stream.expires_after(m_server->m_limits.m_transfer);
+    m_stream.expires_after(m_limits.m_transfer);
     ReadAndDiscard(0);
   }
 
@@ -324,6 +385,7 @@
     beast::error_code ignored;
     m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     m_stream.close();
+    Hold(0);
     if (m_counted && !m_waiting) {
       m_counted = false;
       --m_server->m_inProgress;
@@ -338,10 +400,14 @@
   std::optional<http::request_parser<http::string_body>> m_parser;
   std::optional<http::response<http::string_body>> m_answer;
   std::function<void()> m_gone;
+  HttpLimits m_limits;
+  std::string m_sender;
+  std::uint64_t m_heldBytes = 0;
   std::uint64_t m_sequence = 0;
   bool m_waiting = false;
   bool m_counted = false;
   bool m_keepAlive = false;
+  bool m_isHead = false;
   bool m_refused = false;
 };
 
@@ -378,28 +444,42 @@
     CloseSocket();
     return;
   }
-  ++m_sequence;
-  m_waiting = true;
-  m_counted = true;
-  ++m_server->m_inProgress;
   if (aError) {
-    m_keepAlive = false;
-    m_refused = true;
-    WriteAnswer(
-      m_sequence,
-      MakeTextResponse(StatusOf(aError),
-                       "malformed request: " + aError.message() + "\n"));
+    Refuse(StatusOf(aError), "malformed request: " + aError.message());
     return;
   }
+  Begin();
   m_keepAlive = m_parser->get().keep_alive();
-  auto message = m_parser->release();
+  m_isHead = m_parser->get().method() == http::verb::head;
+  HttpRequest request = ToRequest(m_parser->release());
+  request.m_sender = m_sender;
   m_parser.reset();
+  Hold(request.m_body.size());
   m_stream.expires_never();
   m_server->m_handler(
-    ToRequest(std::move(message)),
+    std::move(request),
     HttpResponder(std::make_shared<Request>(shared_from_this(), m_sequence)));
 }
 
+void
+HttpServer::Implementation::Session::Begin()
+{
+  ++m_sequence;
+  m_waiting = true;
+  m_counted = true;
+  ++m_server->m_inProgress;
+}
+
+/* What follows on the connection belongs to the refused request. */
+void
+HttpServer::Implementation::Session::Refuse(unsigned aStatus, std::string aText)
+{
+  Begin();
+  m_keepAlive = false;
+  m_refused = true;
+  WriteAnswer(m_sequence, MakeTextResponse(aStatus, std::move(aText) + "\n"));
+}
+
 Expected<Endpoint>
 HttpServer::Implementation::Listen(const Endpoint& aEndpoint)
 {
@@ -522,6 +602,19 @@
   m_implementation->Close();
 }
 
+void
+HttpServer::SetLimits(const HttpLimits& aLimits)
+{
+  const std::lock_guard lock(m_implementation->m_mutex);
+  m_implementation->m_limits = aLimits;
+}
+
+void
+HttpServer::CloseAfterAnswers()
+{
+  m_implementation->m_closesAfterAnswers = true;
+}
+
 std::size_t
 HttpServer::RequestsInProgress() const
 {
--- a/modules/cr_transport/http/cr_HttpServer.h
+++ b/modules/cr_transport/http/cr_HttpServer.h
@@ -19,9 +19,14 @@
   std::size_t m_connections = 4096;
   /** Longest time without a request on a connection. */
   Duration m_idle = Seconds(60);
-  /** Longest time from the first byte of a request to its last, and for
-      writing an answer. */
+  /** Longest time from the first byte of a request to the end of its
+      header. */
+  Duration m_header = Seconds(10);
+  /** Longest time for the rest of a request, and for writing an answer. */
   Duration m_transfer = Seconds(10);
+  /** Bytes of bodies that all connections together may hold; a request beyond
+      them gets 503. */
+  std::uint64_t m_heldBodyBytes = 256 * 1024 * 1024;
 };
 
 /** The way to answer one request. Copies stand for the same request. */
@@ -78,6 +83,13 @@
   /** Starts to listen. Port 0 takes a free one. */
   Expected<Endpoint> Listen(const Endpoint& aEndpoint);
 
+  /** Changes the limits of the requests that follow. */
+  void SetLimits(const HttpLimits& aLimits);
+
+  /** Answers go on, but each one closes its connection, so that customers go
+      elsewhere while new connections are still accepted. */
+  void CloseAfterAnswers();
+
   /** Stops accepting connections; requests in progress go on and their
       connections close after the answer. */
   void StopAccepting();
--- /dev/null
+++ b/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
@@ -0,0 +1,287 @@
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+#include "cr_transport/cr_transport.h"
+
+namespace cr {
+
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+
+/* A server that answers the requests of each connection with given bytes. */
+class ScriptedServer
+{
+public:
+  /* One text for each request of a connection; after the last one the
+     connection is closed, with a reset when aReset is set. */
+  explicit ScriptedServer(std::vector<std::string> aTexts, bool aReset = false)
+    : m_acceptor(m_context, tcp::endpoint(tcp::v4(), 0))
+    , m_texts(std::move(aTexts))
+    , m_reset(aReset)
+    , m_thread([this] { Serve(); })
+  {
+  }
+
+  ~ScriptedServer()
+  {
+    m_stopping = true;
+    boost::system::error_code ignored;
+    tcp::socket knock(m_context);
+    knock.connect({ boost::asio::ip::make_address("127.0.0.1"), Port() },
+                  ignored);
+    m_thread.join();
+  }
+
+  std::uint16_t Port() { return m_acceptor.local_endpoint().port(); }
+  Endpoint Address() { return { "127.0.0.1", Port() }; }
+  int Connections() const { return m_connections; }
+
+private:
+  void Serve()
+  {
+    while (true) {
+      tcp::socket socket = m_acceptor.accept();
+      if (m_stopping) {
+        return;
+      }
+      ++m_connections;
+      Answer(socket);
+    }
+  }
+
+  void Answer(tcp::socket& aSocket)
+  {
+    boost::system::error_code error;
+    boost::asio::streambuf buffer;
+    for (const std::string& text : m_texts) {
+      const std::size_t size =
+        boost::asio::read_until(aSocket, buffer, "\r\n\r\n", error);
+      if (error) {
+        return;
+      }
+      buffer.consume(size);
+      boost::asio::write(aSocket, boost::asio::buffer(text), error);
+    }
+    if (m_reset) {
+      aSocket.set_option(boost::asio::socket_base::linger(true, 0), error);
+      aSocket.close(error);
+    }
+  }
+
+  boost::asio::io_context m_context;
+  tcp::acceptor m_acceptor;
+  std::vector<std::string> m_texts;
+  bool m_reset;
+  std::atomic<bool> m_stopping{ false };
+  std::atomic<int> m_connections{ 0 };
+  std::thread m_thread;
+};
+
+std::string
+Answer(const std::string& aId, const std::string& aBody)
+{
+  return "HTTP/1.1 200 OK\r\nEcho: " + aId +
+         "\r\nContent-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+         aBody;
+}
+
+HttpResult
+SendWithId(HttpClient& aClient,
+           const Endpoint& aEndpoint,
+           const std::string& aId,
+           HttpSendOptions aOptions = {})
+{
+  HttpRequest request;
+  request.m_headers = { { "Echo", aId } };
+  aOptions.m_echoedHeader = "Echo";
+  auto promise = std::make_shared<std::promise<HttpResult>>();
+  aClient.Send(aEndpoint, request, aOptions, [promise](HttpResult aResult) {
+    promise->set_value(std::move(aResult));
+  });
+  return promise->get_future().get();
+}
+
+struct Client
+{
+  IoThreads m_threads{ 1 };
+  HttpClient m_client{ m_threads, {} };
+};
+
+TEST(HttpPassThrough, AnAnswerToAnotherRequestIsDroppedAndTheOwnOneIsRead)
+{
+  ScriptedServer server({ Answer("other", "late") + Answer("mine", "right") });
+  Client client;
+  const auto result = SendWithId(client.m_client, server.Address(), "mine");
+  ASSERT_TRUE(std::holds_alternative<HttpResponse>(result));
+  EXPECT_EQ(std::get<HttpResponse>(result).m_body, "right");
+}
+
+TEST(HttpPassThrough, ASuccessWithoutTheIdIsNoAnswerButAFailureIs)
+{
+  ScriptedServer success({ "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" });
+  ScriptedServer refusal({ "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n" });
+  Client client;
+  EXPECT_TRUE(std::holds_alternative<HttpFailure>(
+    SendWithId(client.m_client, success.Address(), "mine")));
+  const auto result = SendWithId(client.m_client, refusal.Address(), "mine");
+  ASSERT_TRUE(std::holds_alternative<HttpResponse>(result));
+  EXPECT_EQ(std::get<HttpResponse>(result).m_status, kHttpUnavailable);
+}
+
+TEST(HttpPassThrough, BytesAfterAWholeAnswerEndTheConnection)
+{
+  ScriptedServer server({ Answer("first", "one") + Answer("first", "again"),
+                          Answer("second", "never asked for") });
+  Client client;
+  SendWithId(client.m_client, server.Address(), "first");
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  SendWithId(client.m_client, server.Address(), "second");
+  EXPECT_EQ(server.Connections(), 2);
+}
+
+TEST(HttpPassThrough, ATruncatedAnswerIsNoAnswer)
+{
+  ScriptedServer server(
+    { "HTTP/1.1 200 OK\r\nEcho: x\r\nContent-Length: 9\r\n\r\nhalf" });
+  Client client;
+  const auto result = SendWithId(client.m_client, server.Address(), "x");
+  ASSERT_TRUE(std::holds_alternative<HttpFailure>(result));
+  EXPECT_TRUE(std::get<HttpFailure>(result).m_sent);
+}
+
+TEST(HttpPassThrough, AnAnswerWithoutLengthEndsWithItsConnection)
+{
+  ScriptedServer closed({ "HTTP/1.1 200 OK\r\nEcho: x\r\n\r\nwhole" });
+  ScriptedServer reset({ "HTTP/1.1 200 OK\r\nEcho: x\r\n\r\npart" }, true);
+  Client client;
+  const auto whole = SendWithId(client.m_client, closed.Address(), "x");
+  ASSERT_TRUE(std::holds_alternative<HttpResponse>(whole));
+  EXPECT_EQ(std::get<HttpResponse>(whole).m_body, "whole");
+  EXPECT_TRUE(std::holds_alternative<HttpFailure>(
+    SendWithId(client.m_client, reset.Address(), "x")));
+}
+
+TEST(HttpPassThrough, AKeptConnectionThatBrokeIsReplacedOnlyWhenAllowed)
+{
+  ScriptedServer server({ Answer("x", "one") });
+  Client client;
+  HttpSendOptions again;
+  again.m_resendIfStale = true;
+  for (int round = 0; round < 10; ++round) {
+    EXPECT_TRUE(std::holds_alternative<HttpResponse>(
+      SendWithId(client.m_client, server.Address(), "x", again)));
+  }
+}
+
+TEST(HttpPassThrough, AnAnswerBeforeTheEndOfALongBodyIsAnAnswer)
+{
+  ScriptedServer server(
+    { "HTTP/1.1 413 Too Large\r\nEcho: x\r\nContent-Length: 2\r\n\r\nno" });
+  Client client;
+  HttpRequest request;
+  request.m_method = "POST";
+  request.m_headers = { { "Echo", "x" } };
+  request.m_body.assign(std::size_t{ 1 } << 20U, 'b');
+  const auto result =
+    client.m_client.SendAndWait(server.Address(), request, Seconds(5));
+  ASSERT_TRUE(std::holds_alternative<HttpResponse>(result));
+  EXPECT_EQ(std::get<HttpResponse>(result).m_status, 413U);
+}
+
+struct Server
+{
+  explicit Server(HttpLimits aLimits)
+    : m_server(m_threads,
+               aLimits,
+               [](HttpRequest aRequest, auto aResponder) {
+                 HttpResponse response;
+                 response.m_headers = { { "Twice", "1" }, { "Twice", "2" } };
+                 response.m_body = aRequest.m_method + aRequest.m_target + "/" +
+                                   std::to_string(aRequest.m_body.size()) +
+                                   std::string(aRequest.m_sender);
+                 aResponder.Send(std::move(response));
+               })
+    , m_address(m_server.Listen({ "127.0.0.1", 0 }).value())
+  {
+  }
+
+  HttpResponse Send(HttpRequest aRequest)
+  {
+    const auto result =
+      m_client.SendAndWait(m_address, std::move(aRequest), Seconds(5));
+    return std::holds_alternative<HttpResponse>(result)
+             ? std::get<HttpResponse>(result)
+             : HttpResponse{ 0, {}, std::get<HttpFailure>(result).m_text };
+  }
+
+  IoThreads m_threads{ 1 };
+  HttpServer m_server;
+  HttpClient m_client{ m_threads, {} };
+  Endpoint m_address;
+};
+
+TEST(HttpPassThrough, AnyMethodAndRepeatedHeadersPassThrough)
+{
+  Server server({});
+  const HttpResponse response = server.Send({ "PATCH", "/a?b=c", {}, "body" });
+  EXPECT_EQ(response.m_body, "PATCH/a?b=c/4127.0.0.1");
+  int twice = 0;
+  for (const HttpHeader& header : response.m_headers) {
+    twice += header.m_name == "Twice" ? 1 : 0;
+  }
+  EXPECT_EQ(twice, 2);
+  EXPECT_TRUE(server.Send({ "HEAD", "/", {}, "" }).m_body.empty());
+  EXPECT_EQ(server.Send({ "GET", "/", {}, "" }).m_status, kHttpOk);
+}
+
+TEST(HttpPassThrough, BodiesBeyondTheBudgetAreRefusedAndNothingStaysHeld)
+{
+  HttpLimits limits;
+  limits.m_heldBodyBytes = 1000;
+  Server server(limits);
+  const std::string fits(900, 'b');
+  const std::string tooLong(1001, 'b');
+  for (int round = 0; round < 3; ++round) {
+    EXPECT_EQ(server.Send({ "POST", "/", {}, fits }).m_status, kHttpOk);
+    EXPECT_EQ(server.Send({ "POST", "/", {}, tooLong }).m_status,
+              kHttpUnavailable);
+  }
+}
+
+TEST(HttpPassThrough, NewLimitsHoldForRequestsThatFollow)
+{
+  Server server({});
+  HttpLimits limits;
+  limits.m_bodyBytes = 3;
+  EXPECT_EQ(server.Send({ "POST", "/", {}, "four" }).m_status, kHttpOk);
+  server.m_server.SetLimits(limits);
+  EXPECT_EQ(server.Send({ "POST", "/", {}, "four" }).m_status, kHttpOk)
+    << "the kept connection had begun to wait under the old limits";
+  EXPECT_EQ(server.Send({ "POST", "/", {}, "four" }).m_status, 413U);
+}
+
+TEST(HttpPassThrough, HeadersOfOneConnectionAreRemoved)
+{
+  HttpHeaders headers = { { "Connection", "close, X-Mine" },
+                          { "x-mine", "1" },
+                          { "Keep-Alive", "timeout=5" },
+                          { "transfer-encoding", "chunked" },
+                          { "X-Kept", "2" } };
+  RemoveConnectionHeaders(headers);
+  ASSERT_EQ(headers.size(), 1U);
+  EXPECT_EQ(headers.front().m_name, "X-Kept");
+}
+
+}
+
+}
