Decisions of a node that relays any request: entry, gate, control

Cause: the users' platform carries plain HTTP requests by route, without operations, keys or a total of attempts; the product's EntryFlow and GateFlow need those. Change: cr_relay, pure events and actions like cr_node, on the product's Router and new parts: SlotQueue (announced slots, latest start first), OfferedLoad (Little's law), AdmittedShare, CallPattern (calls a request makes, from counts), RetryBudget (window shared without messages), TableFollower and StorePace, ServerAnnouncements, FleetDirectory. The store learns watches, lost history and refusals. Ruled out: the existing Gate for this (it orders by an importance that travels with each call, and these calls carry none); its limit by latency (slots are announced, and waits for calls below would lower it).

--- /dev/null
+++ b/modules/cr_admission/share/cr_CallPattern.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cr_core/cr_core.h"
+
+namespace cr {
+
+/** Learns how many calls of each kind a backend server makes for one request of
+    each route that it runs, from counts alone.
+
+    In windows of fixed length the calls made are a sum over the requests that
+    ended, each route with its own factor. The factors that explain the windows
+    best are found by least squares, none below 0, with older windows fading.
+    Not thread safe. */
+class CallPattern
+{
+public:
+  /** Counts a request of the route that the server has run to its end. */
+  void CountRun(const std::string& aRoute, Instant aNow);
+
+  /** Counts a call that the server made by a route. */
+  void CountCall(const std::string& aCalled, Instant aNow);
+
+  //==========================================================================
+  /** Returns how many calls by the route aCalled one request of the route
+      makes; 0 while nothing is known. */
+  double CallsPerRequest(const std::string& aRoute,
+                         const std::string& aCalled) const;
+
+  /** Returns whether one request of the route waits for such calls. */
+  bool Calls(const std::string& aRoute, const std::string& aCalled) const;
+
+  /** Returns the routes by which the server has made calls. */
+  std::vector<std::string> Called() const;
+
+private:
+  struct Target
+  {
+    double m_count = 0;
+    /* Sums over the windows of requests times calls, by route. */
+    std::vector<double> m_products;
+    std::vector<double> m_factors;
+  };
+
+  void Advance(Instant aNow);
+  void EndWindow();
+  void Solve(Target& aTarget) const;
+  std::size_t IndexOf(const std::string& aRoute);
+
+  Instant m_windowEnd;
+  std::map<std::string, std::size_t, std::less<>> m_routes;
+  std::vector<double> m_runs;
+  /* Sums over the windows of requests times requests. */
+  std::vector<std::vector<double>> m_squares;
+  std::map<std::string, Target, std::less<>> m_targets;
+};
+
+}
--- /dev/null
+++ b/modules/cr_admission/share/cr_OfferedLoad.cpp
@@ -0,0 +1,72 @@
+#include "cr_admission/share/cr_OfferedLoad.h"
+
+#include <cmath>
+
+namespace cr {
+
+namespace {
+
+/* Kinds whose time is kept; those beyond count with no time. */
+constexpr std::size_t kKindLimit = 4096;
+/* Weight of one more measured time in the mean. */
+constexpr double kTimeGain = 0.05;
+
+double
+ToSeconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+}
+
+void
+OfferedLoad::CountArrival(const std::string& aKind, Instant aNow)
+{
+  m_work = Decayed(aNow);
+  m_workAt = aNow;
+  const auto time = m_times.find(aKind);
+  if (time != m_times.end()) {
+    m_work += time->second;
+  }
+}
+
+void
+OfferedLoad::LearnTime(const std::string& aKind, Duration aTime)
+{
+  const double sample = ToSeconds(aTime);
+  const auto time = m_times.find(aKind);
+  if (time != m_times.end()) {
+    time->second += kTimeGain * (sample - time->second);
+  } else if (m_times.size() < kKindLimit) {
+    m_times.emplace(aKind, sample);
+  }
+}
+
+void
+OfferedLoad::Reset()
+{
+  *this = OfferedLoad();
+}
+
+double
+OfferedLoad::Load(std::uint32_t aLimit, Instant aNow) const
+{
+  return Decayed(aNow) / ToSeconds(kWindow) / aLimit;
+}
+
+Duration
+OfferedLoad::MeanTime(const std::string& aKind) const
+{
+  const auto time = m_times.find(aKind);
+  return time == m_times.end() ? Duration::zero()
+                               : std::chrono::duration_cast<Duration>(
+                                   std::chrono::duration<double>(time->second));
+}
+
+double
+OfferedLoad::Decayed(Instant aNow) const
+{
+  return m_work * std::exp(-ToSeconds(aNow - m_workAt) / ToSeconds(kWindow));
+}
+
+}
--- /dev/null
+++ b/modules/cr_admission/share/cr_OfferedLoad.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include <string>
+#include <unordered_map>
+
+#include "cr_core/cr_core.h"
+
+namespace cr {
+
+/** Work offered to a backend server, refused work included, as a share of what
+    it can run: arrivals a second times their mean time in the server, over the
+    number that may run at once (Little's law, 1961).
+
+    Unlike the length of a queue it does not saturate and does not go on rising
+    after the load has stopped rising; so a controller that follows it settles.
+    Not thread safe. */
+class OfferedLoad
+{
+public:
+  /** Time over which arrivals are averaged. */
+  static constexpr Duration kWindow = Milliseconds(400);
+
+  /** Counts a call of the kind that arrives. */
+  void CountArrival(const std::string& aKind, Instant aNow);
+
+  /** Learns the time that a call of the kind spent in the server. */
+  void LearnTime(const std::string& aKind, Duration aTime);
+
+  /** Forgets everything, for a server that has just come up. */
+  void Reset();
+
+  //==========================================================================
+  /** Returns the load; 1 is as much as the limit can run. Precondition: aLimit
+      is greater than 0. */
+  double Load(std::uint32_t aLimit, Instant aNow) const;
+
+  /** Returns the mean time in the server of a call of the kind; zero when
+      nothing was measured. */
+  Duration MeanTime(const std::string& aKind) const;
+
+private:
+  double Decayed(Instant aNow) const;
+
+  /* Mean time in the server by kind, in seconds. */
+  std::unordered_map<std::string, double> m_times;
+  /* Seconds of work that arrived, fading over the window. */
+  double m_work = 0;
+  Instant m_workAt;
+};
+
+}
--- /dev/null
+++ b/modules/cr_membership/directory/cr_FleetDirectory.cpp
@@ -0,0 +1,55 @@
+#include "cr_membership/directory/cr_FleetDirectory.h"
+
+namespace cr {
+
+std::vector<UnreadableRow>
+FleetDirectory::Apply(const TableNews& aNews)
+{
+  std::vector<UnreadableRow> unreadable;
+  if (aNews.m_isWhole) {
+    m_nodes.clear();
+  }
+  for (const RowChange& change : aNews.m_changes) {
+    m_nodes.erase(change.m_row.m_key);
+    if (change.m_isRemoved) {
+      continue;
+    }
+    auto row = DecodeNodeRow(change.m_row.m_value);
+    if (!row || row->m_host != change.m_row.m_key) {
+      unreadable.push_back({ change.m_row.m_key,
+                             row ? "another host's row" : row.error().m_text });
+      continue;
+    }
+    m_nodes.emplace(change.m_row.m_key,
+                    Entry{ std::move(*row), change.m_row.m_version });
+  }
+  return unreadable;
+}
+
+std::map<std::string, std::vector<NodeRow>>
+FleetDirectory::ReadyByService() const
+{
+  std::map<std::string, std::vector<NodeRow>> ready;
+  for (const auto& [host, entry] : m_nodes) {
+    if (entry.m_row.m_state == ServerState::Ready) {
+      ready[entry.m_row.m_service].push_back(entry.m_row);
+    }
+  }
+  return ready;
+}
+
+RowVersion
+FleetDirectory::VersionOf(const HostName& aHost) const
+{
+  const auto entry = m_nodes.find(aHost);
+  return entry != m_nodes.end() ? entry->second.m_version : 0;
+}
+
+const NodeRow*
+FleetDirectory::Find(const HostName& aHost) const
+{
+  const auto entry = m_nodes.find(aHost);
+  return entry != m_nodes.end() ? &entry->second.m_row : nullptr;
+}
+
+}
--- /dev/null
+++ b/modules/cr_relay/event/cr_RelayTypes.cpp
@@ -0,0 +1,17 @@
+#include "cr_relay/event/cr_RelayTypes.h"
+
+#include <array>
+
+namespace cr {
+
+std::string_view
+ToText(ServerVerdict aVerdict)
+{
+  constexpr std::array<std::string_view, 7> names = {
+    "answered",    "answered-error", "refused-not-run", "wrong-server",
+    "unreachable", "broken",         "timed-out"
+  };
+  return names.at(static_cast<std::size_t>(aVerdict));
+}
+
+}
--- /dev/null
+++ b/modules/cr_relay/flow/cr_LoadAverage.cpp
@@ -0,0 +1,49 @@
+#include "cr_relay/flow/cr_LoadAverage.h"
+
+#include <cmath>
+
+namespace cr {
+
+namespace {
+
+/* Time over which told loads are averaged: some tens of answers on a busy
+   route, and shorter than the steps of the share that follows them. */
+constexpr double kAverageSeconds = 0.15;
+/* Time in which a load without news falls to a third. */
+constexpr double kFadeSeconds = 2.0;
+
+double
+SecondsBetween(Instant aFirst, Instant aLast)
+{
+  return std::chrono::duration<double>(aLast - aFirst).count();
+}
+
+}
+
+void
+LoadAverage::Learn(double aLoad, Instant aNow)
+{
+  if (m_learnt == Instant::min()) {
+    m_value = aLoad;
+  } else {
+    // A load told long after the last one counts nearly alone; of many told at
+    // the same time each counts a little.
+    constexpr double leastGain = 0.02;
+    const double age = SecondsBetween(m_learnt, aNow);
+    const double gain =
+      std::max(leastGain, 1 - std::exp(-age / kAverageSeconds));
+    m_value += gain * (aLoad - m_value);
+  }
+  m_learnt = aNow;
+}
+
+double
+LoadAverage::Value(Instant aNow) const
+{
+  if (m_learnt == Instant::min()) {
+    return 0;
+  }
+  return m_value * std::exp(-SecondsBetween(m_learnt, aNow) / kFadeSeconds);
+}
+
+}
--- /dev/null
+++ b/modules/cr_relay/flow/cr_RelayEntry.cpp
@@ -0,0 +1,404 @@
+#include "cr_relay/flow/cr_RelayEntry.h"
+
+#include <algorithm>
+#include <array>
+
+#include <fmt/format.h>
+
+namespace cr {
+
+namespace {
+
+/* Hosts that one request is sent to at most, those included that did not take
+   it. */
+constexpr std::size_t kGreatestSends = 4;
+/* Routes whose state is kept. */
+constexpr std::size_t kStateLimit = 8192;
+/* Part of its objective that a customer's request may wait for a slot: what is
+   refused until then has lost nothing that a second try could not make up. */
+constexpr int kNewcomerWaitDivisor = 8;
+/* Part of its time left that a call below a running request may wait. */
+constexpr int kBegunWaitDivisor = 2;
+/* Load that a route's share aims at, by its priority; the greatest priority is
+   refused last. Beyond the last one all are alike. */
+constexpr std::array<double, 3> kShareTargets = { 1.25, 1.15, 0.95 };
+/* From this load on a gate's callers share its work over the whole region. */
+constexpr double kBusyLoad = 0.8;
+/* Above this load on its way a request that failed is not run again. */
+constexpr double kRepeatLoad = 1.0;
+/* A refused customer comes back after this part of the objective at least, and
+   at most that much more of it; and never after more than a third of its time,
+   as it may not wait longer. */
+constexpr double kRetryAfterLeast = 0.15;
+constexpr double kRetryAfterSpread = 0.35;
+constexpr double kRetryAfterPatience = 0.33;
+/* Weight of a request that has the usual patience, and of one that has not, in
+   finding out which patience is usual. */
+constexpr int kUsualGain = 2;
+constexpr int kUsualLimit = 64;
+
+constexpr unsigned kStatusNotFound = 404;
+constexpr unsigned kStatusBadGateway = 502;
+constexpr unsigned kStatusUnavailable = 503;
+constexpr unsigned kStatusTimeout = 504;
+
+double
+TargetOf(const RouteDescription& aRoute)
+{
+  return kShareTargets.at(
+    std::min<std::size_t>(aRoute.m_priority, kShareTargets.size() - 1));
+}
+
+/* The host is not the one that the picture shows; nobody looked at the
+   request. */
+bool
+IsElsewhere(const RelayReport& aReport)
+{
+  return aReport.m_outcome == Outcome::NotRun && !aReport.m_hasReached &&
+         (aReport.m_reason == Reason::Leaving ||
+          aReport.m_reason == Reason::NoServer);
+}
+
+Duration
+Scale(Duration aDuration, double aFactor)
+{
+  return Duration(static_cast<Duration::rep>(
+    static_cast<double>(aDuration.count()) * aFactor));
+}
+
+}
+
+RelayEntry::RelayEntry(RelayShared& aShared)
+  : m_shared(aShared)
+  , m_random(Hash(aShared.m_settings.m_seed, 1))
+  , m_rotation(Hash(aShared.m_settings.m_seed, 2))
+  , m_budget({ aShared.m_settings.m_retryRatio,
+               aShared.m_settings.m_retrySlack,
+               aShared.m_settings.m_retryWindow })
+{
+}
+
+void
+RelayEntry::Handle(const RequestArrived& aEvent,
+                   Instant aNow,
+                   RelayActions& aActions)
+{
+  Call call;
+  call.m_id = aEvent.m_call;
+  call.m_table = m_shared.m_routes.Current();
+  call.m_route = call.m_table->Find(aEvent.m_hostName, aEvent.m_target);
+  call.m_arrived = aNow;
+  call.m_isBegun = aEvent.m_isFromServer;
+  call.m_deadline = aNow + aEvent.m_patience.value_or(Seconds(1));
+  if (m_shared.m_routes.InForce() == 0) {
+    Refuse(call, Reason::StoreUnavailable, aNow, aActions);
+    return;
+  }
+  if (call.m_route == nullptr) {
+    aActions.emplace_back(RefuseRequest{
+      aEvent.m_call, kStatusNotFound, Reason::UnknownService, std::nullopt });
+    return;
+  }
+  const Duration patience =
+    std::min(aEvent.m_patience.value_or(call.m_route->m_timeout),
+             call.m_route->m_timeout);
+  call.m_deadline = aNow + patience;
+  call.m_service = m_rotation.Next(*call.m_route);
+  if (call.m_isBegun) {
+    m_shared.m_pattern.CountCall(call.m_route->m_name, aNow);
+  } else if (m_shared.m_settings.m_isGoverned && !IsLetIn(aEvent, call, aNow)) {
+    Refuse(call, Reason::Overloaded, aNow, aActions);
+    return;
+  }
+  m_budget.CountRequest(call.m_service, aNow);
+  Call& stored = m_calls.emplace(call.m_id, std::move(call)).first->second;
+  TryNext(stored, aNow, aActions);
+}
+
+void
+RelayEntry::Handle(const SenderGone& aEvent,
+                   Instant aNow,
+                   RelayActions& aActions)
+{
+  const auto found = m_calls.find(aEvent.m_call);
+  if (found == m_calls.end()) {
+    return;
+  }
+  Call& call = found->second;
+  if (call.m_target) {
+    const auto router = m_shared.m_routers.find(call.m_service);
+    if (router != m_shared.m_routers.end()) {
+      AttemptResult result;
+      result.m_connectionLost = true;
+      router->second.Report(call.m_target->m_host, result, aNow);
+    }
+    aActions.emplace_back(CancelForward{ call.m_id });
+  }
+  m_calls.erase(found);
+}
+
+void
+RelayEntry::Handle(const ForwardAnswered& aEvent,
+                   Instant aNow,
+                   RelayActions& aActions)
+{
+  const auto found = m_calls.find(aEvent.m_call);
+  if (found != m_calls.end() && found->second.m_target) {
+    if (!m_shared.m_unreached.empty()) {
+      m_shared.m_unreached.erase(found->second.m_target->m_host);
+    }
+    Settle(found->second, aEvent.m_report, aNow, aActions);
+  }
+}
+
+void
+RelayEntry::Handle(const ForwardFailed& aEvent,
+                   Instant aNow,
+                   RelayActions& aActions)
+{
+  const auto found = m_calls.find(aEvent.m_call);
+  if (found == m_calls.end() || !found->second.m_target) {
+    return;
+  }
+  Call& call = found->second;
+  aActions.emplace_back(
+    LogDecision{ "forward-failed",
+                 call.m_id,
+                 fmt::format("\"host\":\"{}\",\"sent\":{},\"timed_out\":{}",
+                             call.m_target->m_host,
+                             aEvent.m_sent,
+                             aEvent.m_timedOut) });
+  if (!aEvent.m_sent) {
+    m_shared.m_unreached.emplace(call.m_target->m_host, aNow);
+  }
+  RelayReport report;
+  report.m_outcome = aEvent.m_sent ? Outcome::Unknown : Outcome::NotRun;
+  report.m_hasReached = aEvent.m_sent;
+  report.m_reason = aEvent.m_timedOut ? Reason::DeadlineTooShort
+                    : aEvent.m_sent   ? Reason::ConnectionLost
+                                      : Reason::NoServer;
+  Settle(call, report, aNow, aActions);
+}
+
+void
+RelayEntry::NoteFleet()
+{
+  m_budget.SetNodes(m_shared.m_directory.Size());
+}
+
+double
+RelayEntry::ShareOf(const std::string& aRoute) const
+{
+  const auto state = m_states.find(aRoute);
+  return state != m_states.end() ? state->second.m_share.Share() : 1;
+}
+
+//==============================================================================
+bool
+RelayEntry::IsLetIn(const RequestArrived& aEvent,
+                    const Call& aCall,
+                    Instant aNow)
+{
+  const std::string& name = aCall.m_route->m_name;
+  if (m_states.size() >= kStateLimit && !m_states.contains(name)) {
+    m_states.clear();
+  }
+  RouteState& state = m_states[name];
+  state.m_share.SetTarget(TargetOf(*aCall.m_route));
+  const bool isReturning =
+    aEvent.m_patience && IsReturning(state, *aEvent.m_patience);
+  return state.m_share.Admit({ isReturning, m_random.Unit() }, aNow);
+}
+
+/* Customers of a route wait equally long; one that was refused has less time
+   left when it returns. */
+bool
+RelayEntry::IsReturning(RouteState& aState, Duration aPatience)
+{
+  if (aPatience == aState.m_usualPatience) {
+    aState.m_usualCount =
+      std::min(aState.m_usualCount + kUsualGain, kUsualLimit);
+  } else if (--aState.m_usualCount < 0) {
+    aState.m_usualPatience = aPatience;
+    aState.m_usualCount = kUsualGain;
+  }
+  return aPatience < aState.m_usualPatience;
+}
+
+void
+RelayEntry::TryNext(Call& aCall, Instant aNow, RelayActions& aActions)
+{
+  const auto router = m_shared.m_routers.find(aCall.m_service);
+  if (aCall.m_deadline <= aNow || aCall.m_tried.size() >= kGreatestSends ||
+      router == m_shared.m_routers.end()) {
+    EndUnserved(aCall, aNow, aActions);
+    return;
+  }
+  const std::span<const HostName> excluded =
+    m_shared.m_settings.m_isGoverned ? std::span<const HostName>(aCall.m_tried)
+                                     : std::span<const HostName>();
+  auto target =
+    router->second.Choose(RankOf(Importance::Protected, 0), excluded, aNow);
+  if (!target) {
+    EndUnserved(aCall, aNow, aActions);
+    return;
+  }
+  aCall.m_tried.push_back(target->m_host);
+  aCall.m_sent = aNow;
+  RelayHeader header;
+  header.m_service = aCall.m_service;
+  header.m_route = aCall.m_route->m_name;
+  header.m_remaining = aCall.m_deadline - aNow;
+  header.m_longestWait =
+    aCall.m_isBegun
+      ? header.m_remaining / kBegunWaitDivisor
+      : std::max(Duration::zero(),
+                 aCall.m_arrived +
+                   aCall.m_route->m_objective / kNewcomerWaitDivisor - aNow);
+  header.m_isBegun = aCall.m_isBegun;
+  header.m_isIdempotent = aCall.m_route->m_idempotent;
+  header.m_generation = m_shared.m_routes.InForce();
+  aActions.emplace_back(
+    ForwardRequest{ aCall.m_id, target->m_peer, std::move(header) });
+  aCall.m_target = std::move(target);
+}
+
+void
+RelayEntry::Settle(Call& aCall,
+                   const RelayReport& aReport,
+                   Instant aNow,
+                   RelayActions& aActions)
+{
+  LearnLoad(aCall, aReport, aNow);
+  ReportTarget(aCall, aReport, aNow);
+  aCall.m_reached += aReport.m_hasReached ? 1 : 0;
+  aCall.m_lastReason = aReport.m_reason;
+  const bool isAnswered = aReport.m_outcome == Outcome::Completed;
+  if (isAnswered && !aReport.m_isServerError) {
+    aActions.emplace_back(RelayAnswer{ aCall.m_id });
+    m_calls.erase(aCall.m_id);
+    return;
+  }
+  aCall.m_hasErrorAnswer |= isAnswered;
+  aCall.m_mayHaveRun |= aReport.m_outcome != Outcome::NotRun;
+  if (MayTryAgain(aCall, aReport, aNow)) {
+    aActions.emplace_back(
+      LogDecision{ "retry",
+                   aCall.m_id,
+                   fmt::format("\"reason\":\"{}\",\"outcome\":\"{}\","
+                               "\"reached\":{},\"path_load\":{:.2f}",
+                               ToText(aReport.m_reason),
+                               ToText(aReport.m_outcome),
+                               aCall.m_reached,
+                               aReport.m_pathLoad) });
+    TryNext(aCall, aNow, aActions);
+    return;
+  }
+  EndUnserved(aCall, aNow, aActions);
+}
+
+bool
+RelayEntry::MayTryAgain(const Call& aCall,
+                        const RelayReport& aReport,
+                        Instant aNow)
+{
+  if (!m_shared.m_settings.m_isGoverned || aCall.m_deadline <= aNow) {
+    return false;
+  }
+  if (IsElsewhere(aReport)) {
+    return true;
+  }
+  if (aReport.m_outcome == Outcome::NotRun && !aReport.m_hasReached) {
+    // A full gate: only work that has begun is worth another one's queue.
+    return aCall.m_isBegun && aCall.m_tried.size() < 2;
+  }
+  const bool mayRunAgain = aCall.m_route->m_idempotent || !aCall.m_mayHaveRun;
+  return mayRunAgain && aReport.m_reason != Reason::DeadlineTooShort &&
+         aCall.m_reached < aCall.m_route->m_attempts &&
+         aReport.m_pathLoad < kRepeatLoad && TakeRepeat(aCall, aNow);
+}
+
+bool
+RelayEntry::TakeRepeat(const Call& aCall, Instant aNow)
+{
+  return m_budget.Take(aCall.m_service, aNow);
+}
+
+void
+RelayEntry::LearnLoad(const Call& aCall,
+                      const RelayReport& aReport,
+                      Instant aNow)
+{
+  const std::string& name = aCall.m_route->m_name;
+  if (aReport.m_pathLoad <= 0) {
+    return;
+  }
+  if (aCall.m_isBegun) {
+    m_shared.m_pathLoads[name].Learn(aReport.m_pathLoad, aNow);
+    return;
+  }
+  const auto state = m_states.find(name);
+  if (state != m_states.end()) {
+    state->second.m_share.Learn(aReport.m_pathLoad, aNow);
+  }
+}
+
+void
+RelayEntry::ReportTarget(Call& aCall, const RelayReport& aReport, Instant aNow)
+{
+  const auto router = m_shared.m_routers.find(aCall.m_service);
+  if (router != m_shared.m_routers.end()) {
+    AttemptResult result;
+    result.m_answered =
+      aReport.m_outcome == Outcome::Completed && !aReport.m_isServerError;
+    result.m_refused = aReport.m_outcome == Outcome::NotRun &&
+                       aReport.m_reason == Reason::Overloaded;
+    result.m_latency = aNow - aCall.m_sent;
+    result.m_level = aReport.m_gateLoad > kBusyLoad ? 1 : 0;
+    router->second.Report(aCall.m_target->m_host, result, aNow);
+  }
+  aCall.m_target.reset();
+}
+
+void
+RelayEntry::EndUnserved(Call& aCall, Instant aNow, RelayActions& aActions)
+{
+  if (aCall.m_hasErrorAnswer) {
+    aActions.emplace_back(RelayAnswer{ aCall.m_id });
+  } else if (!aCall.m_mayHaveRun) {
+    Refuse(aCall, aCall.m_lastReason, aNow, aActions);
+  } else {
+    const bool isLate = aCall.m_lastReason == Reason::DeadlineTooShort ||
+                        aCall.m_deadline <= aNow;
+    aActions.emplace_back(
+      RefuseRequest{ aCall.m_id,
+                     isLate ? kStatusTimeout : kStatusBadGateway,
+                     aCall.m_lastReason,
+                     std::nullopt });
+  }
+  m_calls.erase(aCall.m_id);
+}
+
+void
+RelayEntry::Refuse(const Call& aCall,
+                   Reason aReason,
+                   Instant aNow,
+                   RelayActions& aActions)
+{
+  aActions.emplace_back(RefuseRequest{
+    aCall.m_id, kStatusUnavailable, aReason, RetryAfter(aCall, aNow) });
+}
+
+Duration
+RelayEntry::RetryAfter(const Call& aCall, Instant aNow)
+{
+  const Duration objective =
+    aCall.m_route != nullptr ? aCall.m_route->m_objective : Seconds(1);
+  const Duration wanted =
+    Scale(objective, kRetryAfterLeast + kRetryAfterSpread * m_random.Unit());
+  return std::min(wanted,
+                  Scale(std::max(Duration::zero(), aCall.m_deadline - aNow),
+                        kRetryAfterPatience));
+}
+
+}
--- a/modules/cr_retry/cr_retry.h
+++ b/modules/cr_retry/cr_retry.h
@@ -5,4 +5,5 @@
 
 #include "cr_retry/attempts/cr_AttemptLedger.h"
 #include "cr_retry/attempts/cr_RequestTotals.h"
+#include "cr_retry/budget/cr_RetryBudget.h"
 #include "cr_retry/quota/cr_RetryQuota.h"
--- a/modules/cr_store/codec/cr_StoreCodec.cpp
+++ b/modules/cr_store/codec/cr_StoreCodec.cpp
@@ -53,6 +53,20 @@
            aValue["version"].asUInt64() };
 }
 
+Json::Value
+Encode(const RowChange& aChange)
+{
+  Json::Value value = Encode(aChange.m_row);
+  value["removed"] = aChange.m_isRemoved;
+  return value;
+}
+
+RowChange
+DecodeChange(const Json::Value& aValue)
+{
+  return { DecodeRow(aValue), aValue["removed"].asBool() };
+}
+
 Json::Value
 Encode(const RowWrite& aWrite)
 {
@@ -129,6 +143,13 @@
     m_value["kind"] = "get";
     m_value["name"] = aRequest.m_name;
   }
+  void operator()(const WatchRequest& aRequest) const
+  {
+    m_value["kind"] = "watch";
+    m_value["table"] = aRequest.m_table;
+    m_value["after"] = Json::UInt64(aRequest.m_after);
+    m_value["wait_us"] = Json::Int64(aRequest.m_wait.count());
+  }
 };
 
 struct AnswerEncoder
@@ -149,6 +170,7 @@
     m_value["kind"] = "page";
     m_value["rows"] = EncodeList(aAnswer.m_rows);
     m_value["more"] = aAnswer.m_more;
+    m_value["version"] = Json::UInt64(aAnswer.m_version);
   }
   void operator()(const RowFound& aAnswer) const
   {
@@ -164,6 +186,21 @@
       m_value["content"] = *aAnswer.m_content;
     }
   }
+  void operator()(const RowChanges& aAnswer) const
+  {
+    m_value["kind"] = "changes";
+    m_value["changes"] = EncodeList(aAnswer.m_changes);
+    m_value["version"] = Json::UInt64(aAnswer.m_version);
+  }
+  void operator()(const HistoryLost& /*aAnswer*/) const
+  {
+    m_value["kind"] = "history-lost";
+  }
+  void operator()(const StoreRefused& aAnswer) const
+  {
+    m_value["kind"] = "refused";
+    m_value["text"] = aAnswer.m_text;
+  }
   void operator()(const StoreFailed& aAnswer) const
   {
     m_value["kind"] = "failed";
@@ -195,6 +232,11 @@
   if (kind == "get") {
     return GetObjectRequest{ aValue["name"].asString() };
   }
+  if (kind == "watch") {
+    return WatchRequest{ aValue["table"].asString(),
+                         aValue["after"].asUInt64(),
+                         Duration(aValue["wait_us"].asInt64()) };
+  }
   return Failure(ErrorCode::Malformed, "unknown kind of store request");
 }
 
@@ -210,7 +252,8 @@
   }
   if (kind == "page") {
     return RowPage{ DecodeList(aValue["rows"], DecodeRow),
-                    aValue["more"].asBool() };
+                    aValue["more"].asBool(),
+                    aValue["version"].asUInt64() };
   }
   if (kind == "row") {
     return aValue.isMember("row") ? RowFound{ DecodeRow(aValue["row"]) }
@@ -221,6 +264,16 @@
              ? ObjectFound{ aValue["content"].asString() }
              : ObjectFound{};
   }
+  if (kind == "changes") {
+    return RowChanges{ DecodeList(aValue["changes"], DecodeChange),
+                       aValue["version"].asUInt64() };
+  }
+  if (kind == "history-lost") {
+    return HistoryLost{};
+  }
+  if (kind == "refused") {
+    return StoreRefused{ aValue["text"].asString() };
+  }
   return StoreFailed{ aValue["text"].asString() };
 }
 
--- /dev/null
+++ b/modules/cr_store/follow/cr_StorePace.cpp
@@ -0,0 +1,33 @@
+#include "cr_store/follow/cr_StorePace.h"
+
+#include <algorithm>
+
+namespace cr {
+
+namespace {
+
+constexpr Duration kFirstPause = Milliseconds(150);
+constexpr int kGreatestDoublings = 3;
+
+}
+
+void
+StorePace::NoteFailure(Instant aNow)
+{
+  const int doublings = std::min(m_failures, kGreatestDoublings);
+  ++m_failures;
+  const Duration mean = std::min(kFirstPause * (1 << doublings), kLongestPause);
+  const double factor = m_random.Unit() + 0.5;
+  m_notBefore = aNow + std::chrono::duration_cast<Duration>(
+                         std::chrono::duration<double, Duration::period>(
+                           factor * static_cast<double>(mean.count())));
+}
+
+void
+StorePace::PutOff(Duration aLongest, Instant aNow)
+{
+  m_notBefore = aNow + Duration(static_cast<Duration::rep>(m_random.Below(
+                         static_cast<std::uint64_t>(aLongest.count()))));
+}
+
+}
--- a/modules/cr_store/table/cr_InProcessPlatform.cpp
+++ b/modules/cr_store/table/cr_InProcessPlatform.cpp
@@ -24,21 +24,57 @@
     return failed;
   }
   for (const RowWrite& write : aRequest.m_writes) {
+    std::erase_if(m_history, [&](const auto& aChange) {
+      return aChange.second == write.m_row;
+    });
+    m_history.emplace(++m_lastVersion, write.m_row);
     if (!write.m_value) {
       m_rows.erase(write.m_row);
       continue;
     }
-    m_rows[write.m_row] = { write.m_row.m_key,
-                            *write.m_value,
-                            ++m_lastVersion };
+    m_rows[write.m_row] = { write.m_row.m_key, *write.m_value, m_lastVersion };
   }
   return Committed{};
 }
 
+void
+InProcessPlatform::Compact()
+{
+  const std::lock_guard lock(m_mutex);
+  m_history.clear();
+  m_historyStart = m_lastVersion;
+}
+
+StoreAnswer
+InProcessPlatform::Do(const WatchRequest& aRequest) const
+{
+  if (aRequest.m_after < m_historyStart) {
+    return HistoryLost{};
+  }
+  RowChanges changes;
+  changes.m_version = m_lastVersion;
+  for (auto change = m_history.upper_bound(aRequest.m_after);
+       change != m_history.end();
+       ++change) {
+    if (change->second.m_table != aRequest.m_table) {
+      continue;
+    }
+    const auto row = m_rows.find(change->second);
+    if (row != m_rows.end()) {
+      changes.m_changes.push_back({ row->second, false });
+    } else {
+      changes.m_changes.push_back(
+        { { change->second.m_key, {}, change->first }, true });
+    }
+  }
+  return changes;
+}
+
 StoreAnswer
 InProcessPlatform::Do(const ScanRequest& aRequest) const
 {
   RowPage page;
+  page.m_version = m_lastVersion;
   const std::string& from = std::max(aRequest.m_after, aRequest.m_prefix);
   auto row = m_rows.lower_bound({ aRequest.m_table, from });
   for (; row != m_rows.end() && row->first.m_table == aRequest.m_table &&
--- a/modules/cr_store/table/cr_StoreRequest.h
+++ b/modules/cr_store/table/cr_StoreRequest.h
@@ -82,12 +82,23 @@
   std::string m_name;
 };
 
+/** Asks for the rows of a table that changed after a version, and waits for the
+    first change. */
+struct WatchRequest
+{
+  std::string m_table;
+  RowVersion m_after = 0;
+  /** Longest time until an answer without changes. */
+  Duration m_wait = Duration::zero();
+};
+
 /** Anything that can be asked of the platform. */
 using StoreRequest = std::variant<TransactRequest,
                                   ScanRequest,
                                   ReadRequest,
                                   PutObjectRequest,
-                                  GetObjectRequest>;
+                                  GetObjectRequest,
+                                  WatchRequest>;
 
 /** All conditions held; every write took effect. */
 struct Committed
@@ -105,8 +116,31 @@
 {
   std::vector<Row> m_rows;
   bool m_more = false;
+  /** Newest version of any row as of this page; what is newer than that of the
+      first page can be watched from it. */
+  RowVersion m_version = 0;
+};
+
+/** A row that changed. */
+struct RowChange
+{
+  Row m_row;
+  /** The row is gone; it has no value. */
+  bool m_isRemoved = false;
+};
+
+/** Changed rows in the order of their versions; each row once, as it is now. */
+struct RowChanges
+{
+  std::vector<RowChange> m_changes;
+  /** The version to go on from. */
+  RowVersion m_version = 0;
 };
 
+/** The changes after the version are forgotten; the table is to be read. */
+struct HistoryLost
+{};
+
 /** The row, if it exists. */
 struct RowFound
 {
@@ -119,6 +153,12 @@
   std::optional<std::string> m_content;
 };
 
+/** The platform refused for now; nothing was done. */
+struct StoreRefused
+{
+  std::string m_text;
+};
+
 /** The platform gave no answer: an outage, a timeout or a lost answer. A write
     may or may not have taken effect. */
 struct StoreFailed
@@ -132,6 +172,9 @@
                                  RowPage,
                                  RowFound,
                                  ObjectFound,
+                                 RowChanges,
+                                 HistoryLost,
+                                 StoreRefused,
                                  StoreFailed>;
 
 /** Carries a request to the platform and waits for its answer. Used by programs
