--- /dev/null
+++ b/modules/cr_relay_server/report/cr_RelayLog.cpp
@@ -0,0 +1,141 @@
+#include "cr_relay_server/report/cr_RelayLog.h"
+
+#include <algorithm>
+#include <chrono>
+#include <mutex>
+
+#include <spdlog/async.h>
+#include <spdlog/async_logger.h>
+#include <spdlog/sinks/stdout_sinks.h>
+
+namespace cr {
+
+namespace {
+
+/* Lines in the ring: more than a second's worth. */
+constexpr std::size_t kRingLines = 256;
+/* Lines that may be written at once after a quiet time. */
+constexpr double kBurstLines = 200;
+
+std::int64_t
+WallMicroseconds()
+{
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+}
+
+struct RelayLog::Implementation
+{
+  explicit Implementation(std::string aHost)
+    : m_host(std::move(aHost))
+    , m_pool(std::make_shared<spdlog::details::thread_pool>(kRingLines, 1))
+    , m_logger(std::make_shared<spdlog::async_logger>(
+        "corianderrack",
+        std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+        m_pool,
+        spdlog::async_overflow_policy::overrun_oldest))
+  {
+    m_logger->set_pattern("%v");
+    m_logger->flush_on(spdlog::level::info);
+  }
+
+  bool TakeLine()
+  {
+    const std::lock_guard lock(m_mutex);
+    const auto now = std::chrono::steady_clock::now();
+    const std::chrono::duration<double> passed = now - m_refilled;
+    m_refilled = now;
+    m_lines = std::min(kBurstLines, m_lines + passed.count() * kLinesPerSecond);
+    if (m_lines < 1) {
+      ++m_suppressed;
+      return false;
+    }
+    m_lines -= 1;
+    return true;
+  }
+
+  void Write(std::string_view aEvent, const std::string& aMembers)
+  {
+    if (TakeLine()) {
+      m_logger->info("{{\"at_us\":{},\"host\":\"{}\",\"event\":\"{}\"{}}}",
+                     WallMicroseconds(),
+                     m_host,
+                     aEvent,
+                     aMembers);
+    }
+  }
+
+  std::string m_host;
+  std::shared_ptr<spdlog::details::thread_pool> m_pool;
+  std::shared_ptr<spdlog::async_logger> m_logger;
+  mutable std::mutex m_mutex;
+  double m_lines = kBurstLines;
+  std::chrono::steady_clock::time_point m_refilled =
+    std::chrono::steady_clock::now();
+  std::uint64_t m_suppressed = 0;
+};
+
+RelayLog::RelayLog(std::string aHost)
+  : m_implementation(std::make_unique<Implementation>(std::move(aHost)))
+{
+}
+
+RelayLog::~RelayLog() = default;
+
+void
+RelayLog::Write(std::string_view aEvent, std::string_view aMembers)
+{
+  m_implementation->Write(
+    aEvent, aMembers.empty() ? std::string() : fmt::format(",{}", aMembers));
+}
+
+void
+RelayLog::Write(std::string_view aEvent,
+                std::string_view aRequest,
+                std::string_view aMembers)
+{
+  m_implementation->Write(aEvent,
+                          fmt::format(",\"request\":\"{}\"{}{}",
+                                      EscapeJson(aRequest),
+                                      aMembers.empty() ? "" : ",",
+                                      aMembers));
+}
+
+void
+RelayLog::Flush()
+{
+  m_implementation->m_logger->flush();
+}
+
+std::uint64_t
+RelayLog::Lost() const
+{
+  const std::lock_guard lock(m_implementation->m_mutex);
+  return m_implementation->m_suppressed +
+         m_implementation->m_pool->overrun_counter();
+}
+
+std::string
+EscapeJson(std::string_view aText)
+{
+  constexpr unsigned char firstPrintable = 0x20;
+  constexpr unsigned char lastPlain = 0x7e;
+  std::string escaped;
+  for (const char letter : aText) {
+    const auto code = static_cast<unsigned char>(letter);
+    if (letter == '"' || letter == '\\') {
+      escaped += '\\';
+      escaped += letter;
+    } else if (code < firstPrintable || code > lastPlain) {
+      escaped += fmt::format("\\u{:04x}", code);
+    } else {
+      escaped += letter;
+    }
+  }
+  return escaped;
+}
+
+}
--- /dev/null
+++ b/modules/cr_relay_server/server/cr_RelayMetrics.cpp
@@ -0,0 +1,172 @@
+#include "cr_relay_server/server/cr_RelayMetrics.h"
+
+#include <array>
+
+namespace cr {
+
+namespace {
+
+enum : MetricId
+{
+  kRequests,
+  kAnswers,
+  kAnswerSeconds,
+  kHandOvers,
+  kHandOverSeconds,
+  kDecisions,
+  kStoreCalls,
+  kGeneration,
+  kNodes,
+  kRunning,
+  kWaiting,
+  kLimit,
+  kLoad,
+  kInTouch,
+  kReady,
+  kResident,
+  kLostLines
+};
+
+constexpr std::array<MetricFamily, 17> kFamilies = { {
+  { "corianderrack_relay_requests_total",
+    "Requests that arrived",
+    MetricKind::Counter },
+  { "corianderrack_relay_answers_total",
+    "Final answers by outcome and reason",
+    MetricKind::Counter },
+  { "corianderrack_relay_answer_seconds",
+    "Time from a request to its answer",
+    MetricKind::Histogram },
+  { "corianderrack_relay_hand_overs_total",
+    "Requests that ended at the backend server",
+    MetricKind::Counter },
+  { "corianderrack_relay_hand_over_seconds",
+    "Time in the backend server",
+    MetricKind::Histogram },
+  { "corianderrack_relay_decisions_total",
+    "Decisions by kind of log line",
+    MetricKind::Counter },
+  { "corianderrack_relay_store_calls_total",
+    "Calls to the platform",
+    MetricKind::Counter },
+  { "corianderrack_relay_generation",
+    "Configuration in force; 0 means none",
+    MetricKind::Gauge },
+  { "corianderrack_relay_known_nodes", "Nodes known", MetricKind::Gauge },
+  { "corianderrack_relay_running",
+    "Requests in the backend server",
+    MetricKind::Gauge },
+  { "corianderrack_relay_waiting",
+    "Requests that wait for a slot",
+    MetricKind::Gauge },
+  { "corianderrack_relay_limit",
+    "Requests that may run at once",
+    MetricKind::Gauge },
+  { "corianderrack_relay_load",
+    "Offered load; 1 is what the server can run",
+    MetricKind::Gauge },
+  { "corianderrack_relay_platform_in_touch",
+    "1 while the platform answers",
+    MetricKind::Gauge },
+  { "corianderrack_relay_ready",
+    "1 while customers are welcome",
+    MetricKind::Gauge },
+  { "corianderrack_relay_resident_bytes",
+    "Memory of the process",
+    MetricKind::Gauge },
+  { "corianderrack_relay_lost_log_lines",
+    "Log lines that were not written",
+    MetricKind::Gauge },
+} };
+
+std::string_view
+NameOf(const StoreRequest& aRequest)
+{
+  constexpr std::array<std::string_view, 6> names = { "transact", "scan",
+                                                      "read",     "put",
+                                                      "get",      "watch" };
+  return names.at(aRequest.index());
+}
+
+std::string_view
+ResultOf(const StoreAnswer& aAnswer)
+{
+  if (std::holds_alternative<StoreFailed>(aAnswer)) {
+    return "failed";
+  }
+  if (std::holds_alternative<StoreRefused>(aAnswer)) {
+    return "refused";
+  }
+  return "answered";
+}
+
+}
+
+RelayMetrics::RelayMetrics()
+  : m_registry(kFamilies)
+{
+}
+
+void
+RelayMetrics::CountRequest(std::string_view aAt)
+{
+  m_registry.Add(kRequests, std::array{ MetricLabel{ "at", aAt } });
+}
+
+void
+RelayMetrics::CountAnswer(std::string_view aAt,
+                          Outcome aOutcome,
+                          Reason aReason,
+                          Duration aTime)
+{
+  m_registry.Add(kAnswers,
+                 std::array{ MetricLabel{ "at", aAt },
+                             MetricLabel{ "outcome", ToText(aOutcome) },
+                             MetricLabel{ "reason", ToText(aReason) } });
+  m_registry.Observe(
+    kAnswerSeconds, std::array{ MetricLabel{ "at", aAt } }, aTime);
+}
+
+void
+RelayMetrics::CountHandOver(ServerVerdict aVerdict, Duration aTime)
+{
+  const std::array labels{ MetricLabel{ "verdict", ToText(aVerdict) } };
+  m_registry.Add(kHandOvers, labels);
+  m_registry.Observe(kHandOverSeconds, labels, aTime);
+}
+
+void
+RelayMetrics::CountDecision(std::string_view aEvent)
+{
+  m_registry.Add(kDecisions, std::array{ MetricLabel{ "event", aEvent } });
+}
+
+void
+RelayMetrics::CountStore(const StoreRequest& aRequest,
+                         const StoreAnswer& aAnswer)
+{
+  m_registry.Add(kStoreCalls,
+                 std::array{ MetricLabel{ "call", NameOf(aRequest) },
+                             MetricLabel{ "result", ResultOf(aAnswer) } });
+}
+
+std::string
+RelayMetrics::Write(const RelayStatus& aStatus, std::uint64_t aLostLines) const
+{
+  const auto number = [](auto aValue) { return static_cast<double>(aValue); };
+  const std::array<GaugeValue, 10> gauges = { {
+    { kGeneration, {}, number(aStatus.m_generation) },
+    { kNodes, {}, number(aStatus.m_nodes) },
+    { kRunning, {}, number(aStatus.m_running) },
+    { kWaiting, {}, number(aStatus.m_waiting) },
+    { kLimit, {}, number(aStatus.m_limit) },
+    { kLoad, {}, aStatus.m_gateLoad },
+    { kInTouch, {}, number(aStatus.m_isInTouch ? 1 : 0) },
+    { kReady, {}, number(aStatus.m_isReady ? 1 : 0) },
+    { kResident, {}, number(ReadProcessUsage().m_residentBytes) },
+    { kLostLines, {}, number(aLostLines) },
+  } };
+  return m_registry.Write(gauges);
+}
+
+}
--- /dev/null
+++ b/modules/cr_relay_server/server/cr_RelayServer.cpp
@@ -0,0 +1,33 @@
+#include "cr_relay_server/server/cr_RelayServer.h"
+
+#include "cr_relay_server/server/cr_RelayShell.h"
+
+namespace cr {
+
+RelayServer::RelayServer(RelayServerSettings aSettings, RelayDialect aDialect)
+  : m_implementation(std::make_shared<Implementation>(std::move(aSettings),
+                                                      std::move(aDialect)))
+{
+}
+
+RelayServer::~RelayServer() = default;
+
+Expected<void>
+RelayServer::Start()
+{
+  return m_implementation->Start();
+}
+
+void
+RelayServer::NoteSettings(std::string_view aText)
+{
+  m_implementation->NoteSettings(aText);
+}
+
+std::size_t
+RelayServer::Shutdown()
+{
+  return m_implementation->Shutdown();
+}
+
+}
