--- /dev/null
+++ b/modules/cr_relay/tests/cr_RelayTestNode.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "cr_relay/cr_relay.h"
+
+namespace cr {
+
+/** One relaying node in a test: feeds events, and keeps the actions. */
+class RelayTestNode
+{
+public:
+  explicit RelayTestNode(RelaySettings aSettings = Settings("host-1"))
+    : m_decisions(std::move(aSettings))
+  {
+  }
+
+  static RelaySettings Settings(const std::string& aHost)
+  {
+    RelaySettings settings;
+    settings.m_host = aHost;
+    settings.m_incarnation = Incarnation{ 1 };
+    settings.m_region = "region";
+    settings.m_dataCentre = "centre";
+    settings.m_peer = PeerOf(aHost);
+    settings.m_service = "orders";
+    settings.m_routesRow = { "routes", "all" };
+    settings.m_retryRatio = 0.5;
+    settings.m_retrySlack = 10;
+    return settings;
+  }
+
+  static Endpoint PeerOf(const std::string& aHost) { return { aHost, 7000 }; }
+
+  /** A route of the host name "shop" to a service of the same name as the
+      prefix. */
+  static RouteDescription Route(const std::string& aService, bool aIsIdempotent)
+  {
+    RouteDescription route;
+    route.m_name = "route-" + aService;
+    route.m_host = "shop";
+    route.m_prefix = "/" + aService + "/";
+    route.m_services = { { aService, 1 } };
+    route.m_idempotent = aIsIdempotent;
+    route.m_attempts = 2;
+    route.m_timeout = Seconds(5);
+    route.m_objective = Seconds(1);
+    return route;
+  }
+
+  void AdoptRoutes(Generation aGeneration,
+                   std::vector<RouteDescription> aRoutes)
+  {
+    RouteConfiguration configuration;
+    configuration.m_generation = aGeneration;
+    configuration.m_routes = std::move(aRoutes);
+    configuration.m_services["orders"] = { "/health" };
+    Feed(RoutesOffered{ std::move(configuration) });
+  }
+
+  /** Gives the node a table with hosts of the service, answering its calls. */
+  void AdoptNodes(const std::string& aService,
+                  const std::vector<std::string>& aHosts)
+  {
+    std::uint64_t id = 0;
+    for (const auto& call : Take<RelayCallStore>()) {
+      const auto* scan = std::get_if<ScanRequest>(&call.m_request);
+      if (scan != nullptr && scan->m_table == kNodeTable) {
+        id = call.m_id;
+      }
+    }
+    RowPage page;
+    page.m_version = 1;
+    for (const std::string& host : aHosts) {
+      NodeRow row;
+      row.m_host = host;
+      row.m_incarnation = Incarnation{ 1 };
+      row.m_region = "region";
+      row.m_dataCentre = "centre";
+      row.m_peer = PeerOf(host);
+      row.m_service = aService;
+      row.m_state = ServerState::Ready;
+      page.m_rows.push_back({ host, EncodeNodeRow(row), 1 });
+    }
+    Feed(RelayStoreAnswered{ id, page });
+  }
+
+  void Announce(std::uint32_t aSlots,
+                std::uint64_t aSequence = 1,
+                bool aIsLeaving = false)
+  {
+    ServerAnnouncement announcement;
+    announcement.m_id = "server-1";
+    announcement.m_service = "orders";
+    announcement.m_slots = aSlots;
+    announcement.m_born = 1000;
+    announcement.m_sequence = aSequence;
+    announcement.m_isLeaving = aIsLeaving;
+    Feed(ServerAnnounced{ announcement });
+  }
+
+  CallId Request(const std::string& aTarget, bool aIsFromServer = false)
+  {
+    const CallId call{ ++m_calls };
+    RequestArrived event;
+    event.m_call = call;
+    event.m_hostName = "shop";
+    event.m_target = aTarget;
+    event.m_patience = Seconds(5);
+    event.m_isFromServer = aIsFromServer;
+    Feed(event);
+    return call;
+  }
+
+  CallId PeerRequest(bool aIsIdempotent, Duration aLongestWait = Seconds(1))
+  {
+    const CallId call{ ++m_calls };
+    RelayHeader header;
+    header.m_service = "orders";
+    header.m_route = "route-orders";
+    header.m_remaining = Seconds(5);
+    header.m_longestWait = aLongestWait;
+    header.m_isIdempotent = aIsIdempotent;
+    Feed(PeerRequestArrived{ call, header });
+    return call;
+  }
+
+  void Feed(const RelayEvent& aEvent)
+  {
+    m_decisions.Handle(aEvent, m_now, m_actions);
+  }
+
+  /** Returns the actions of one kind, and forgets them. */
+  template<typename Kind>
+  std::vector<Kind> Take()
+  {
+    std::vector<Kind> taken;
+    std::erase_if(m_actions, [&](const RelayAction& aAction) {
+      const auto* action = std::get_if<Kind>(&aAction);
+      if (action != nullptr) {
+        taken.push_back(*action);
+      }
+      return action != nullptr;
+    });
+    return taken;
+  }
+
+  RelayDecisions m_decisions;
+  Instant m_now{ Seconds(100) };
+
+private:
+  RelayActions m_actions;
+  std::uint64_t m_calls = 0;
+};
+
+}
