Load tells of waiting work; a busy server is not taken for absent

Change: waiting work counts into the load as if to be done within its window; six hand-overs in a row must find nobody; hosts that could not be connected to are left out for a second. Ruled out: a leak of slots (running stayed at the limit of each gate and came back).

--- a/modules/cr_admission/share/cr_OfferedLoad.cpp
+++ b/modules/cr_admission/share/cr_OfferedLoad.cpp
@@ -34,6 +34,7 @@
 OfferedLoad::LearnTime(const std::string& aKind, Duration aTime)
 {
   const double sample = ToSeconds(aTime);
+  m_meanTime += (m_meanTime > 0 ? kTimeGain : 1.0) * (sample - m_meanTime);
   const auto time = m_times.find(aKind);
   if (time != m_times.end()) {
     time->second += kTimeGain * (sample - time->second);
@@ -49,9 +50,12 @@
 }
 
 double
-OfferedLoad::Load(std::uint32_t aLimit, Instant aNow) const
+OfferedLoad::Load(std::uint32_t aLimit,
+                  std::size_t aWaiting,
+                  Instant aNow) const
 {
-  return Decayed(aNow) / ToSeconds(kWindow) / aLimit;
+  const double waiting = m_meanTime * static_cast<double>(aWaiting);
+  return (Decayed(aNow) + waiting) / ToSeconds(kWindow) / aLimit;
 }
 
 Duration
--- a/modules/cr_admission/share/cr_OfferedLoad.h
+++ b/modules/cr_admission/share/cr_OfferedLoad.h
@@ -11,9 +11,12 @@
     it can run: arrivals a second times their mean time in the server, over the
     number that may run at once (Little's law, 1961).
 
-    Unlike the length of a queue it does not saturate and does not go on rising
-    after the load has stopped rising; so a controller that follows it settles.
-    Not thread safe. */
+    Work that waits counts as if it were to be done within the same time over
+    which arrivals are averaged. Arrivals alone do not show a queue that stands:
+    where requests make calls one after the other, those that wait make no
+    further ones, and the arrivals settle at what the server can run. The queue
+    alone swings, as it goes on rising after the load has stopped to. Not thread
+    safe. */
 class OfferedLoad
 {
 public:
@@ -30,9 +33,9 @@
   void Reset();
 
   //==========================================================================
-  /** Returns the load; 1 is as much as the limit can run. Precondition: aLimit
-      is greater than 0. */
-  double Load(std::uint32_t aLimit, Instant aNow) const;
+  /** Returns the load; 1 is as much as the limit can run. aWaiting calls wait
+      for the server. Precondition: aLimit is greater than 0. */
+  double Load(std::uint32_t aLimit, std::size_t aWaiting, Instant aNow) const;
 
   /** Returns the mean time in the server of a call of the kind; zero when
       nothing was measured. */
@@ -41,6 +44,8 @@
 private:
   double Decayed(Instant aNow) const;
 
+  /* Mean time in the server of all calls, in seconds. */
+  double m_meanTime = 0;
   /* Mean time in the server by kind, in seconds. */
   std::unordered_map<std::string, double> m_times;
   /* Seconds of work that arrived, fading over the window. */
--- a/modules/cr_relay/flow/cr_RelayControl.cpp
+++ b/modules/cr_relay/flow/cr_RelayControl.cpp
@@ -145,8 +145,8 @@
                                   : m_rowPace.NotBefore());
   }
   if (m_nodes.IsInTouch() && !m_isRemovingRow) {
-    for (const auto& [host, since] : m_shared.m_unreached) {
-      due = std::min(due, RemovalOf(host, since));
+    for (const auto& [host, unreached] : m_shared.m_unreached) {
+      due = std::min(due, RemovalOf(host, unreached.m_since));
     }
   }
   return due;
@@ -278,7 +278,7 @@
   auto& unreached = m_shared.m_unreached;
   const auto dead = std::find_if(
     unreached.begin(), unreached.end(), [&](const auto& aUnreached) {
-      return RemovalOf(aUnreached.first, aUnreached.second) <= aNow;
+      return RemovalOf(aUnreached.first, aUnreached.second.m_since) <= aNow;
     });
   if (dead == unreached.end()) {
     return;
--- a/modules/cr_relay/flow/cr_RelayEntry.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntry.cpp
@@ -24,6 +24,9 @@
 constexpr std::array<double, 3> kShareTargets = { 1.25, 1.15, 0.95 };
 /* From this load on a gate's callers share its work over the whole region. */
 constexpr double kBusyLoad = 0.8;
+/* A host that could not be connected to is tried again after this time, while
+   there are others. */
+constexpr Duration kUnreachedPause = Seconds(1);
 /* Above this load on its way a request that failed is not run again. */
 constexpr double kRepeatLoad = 1.0;
 /* A refused customer comes back after this part of the objective at least, and
@@ -169,7 +172,8 @@
                              aEvent.m_sent,
                              aEvent.m_timedOut) });
   if (!aEvent.m_sent) {
-    m_shared.m_unreached.emplace(call.m_target->m_host, aNow);
+    m_shared.m_unreached.try_emplace(call.m_target->m_host, aNow, aNow)
+      .first->second.m_latest = aNow;
   }
   RelayReport report;
   report.m_outcome = aEvent.m_sent ? Outcome::Unknown : Outcome::NotRun;
@@ -234,11 +238,7 @@
     EndUnserved(aCall, aNow, aActions);
     return;
   }
-  const std::span<const HostName> excluded =
-    m_shared.m_settings.m_isGoverned ? std::span<const HostName>(aCall.m_tried)
-                                     : std::span<const HostName>();
-  auto target =
-    router->second.Choose(RankOf(Importance::Protected, 0), excluded, aNow);
+  auto target = Choose(aCall, router->second, aNow);
   if (!target) {
     EndUnserved(aCall, aNow, aActions);
     return;
@@ -263,6 +263,27 @@
   aCall.m_target = std::move(target);
 }
 
+std::optional<RouteTarget>
+RelayEntry::Choose(const Call& aCall, Router& aRouter, Instant aNow) const
+{
+  const Rank rank = RankOf(Importance::Protected, 0);
+  if (!m_shared.m_settings.m_isGoverned) {
+    return aRouter.Choose(rank, {}, aNow);
+  }
+  if (!m_shared.m_unreached.empty()) {
+    std::vector<HostName> excluded = aCall.m_tried;
+    for (const auto& [host, unreached] : m_shared.m_unreached) {
+      if (aNow - unreached.m_latest < kUnreachedPause) {
+        excluded.push_back(host);
+      }
+    }
+    if (auto target = aRouter.Choose(rank, excluded, aNow)) {
+      return target;
+    }
+  }
+  return aRouter.Choose(rank, aCall.m_tried, aNow);
+}
+
 void
 RelayEntry::Settle(Call& aCall,
                    const RelayReport& aReport,
--- a/modules/cr_relay/flow/cr_RelayEntry.h
+++ b/modules/cr_relay/flow/cr_RelayEntry.h
@@ -87,6 +87,9 @@
 
   bool IsLetIn(const RequestArrived& aEvent, const Call& aCall, Instant aNow);
   bool IsReturning(RouteState& aState, Duration aPatience);
+  std::optional<RouteTarget> Choose(const Call& aCall,
+                                    Router& aRouter,
+                                    Instant aNow) const;
   void TryNext(Call& aCall, Instant aNow, RelayActions& aActions);
   void Settle(Call& aCall,
               const RelayReport& aReport,
--- a/modules/cr_relay/flow/cr_RelayGate.cpp
+++ b/modules/cr_relay/flow/cr_RelayGate.cpp
@@ -13,9 +13,9 @@
    questions for its health hold some for a moment, and a server that is full
    may not answer at all. */
 constexpr double kSlotShare = 0.92;
-/* Requests that found nobody, in a row, until the server is taken for
-   absent. */
-constexpr int kUnreachableLimit = 2;
+/* Requests that found nobody, in a row, until the server is taken for absent. A
+   busy server may leave some connections unopened, while others end well. */
+constexpr int kUnreachableLimit = 6;
 /* Pause between questions for the health of a server that was not heard of;
    half of the time in which a server usually announces itself. */
 constexpr Duration kHealthPause = Milliseconds(700);
@@ -239,7 +239,7 @@
 double
 RelayGate::Load(Instant aNow) const
 {
-  return m_load.Load(std::max(m_queue.Limit(), 1U), aNow);
+  return m_load.Load(std::max(m_queue.Limit(), 1U), m_queue.Waiting(), aNow);
 }
 
 std::optional<Instant>
--- a/modules/cr_relay/flow/cr_RelayShared.h
+++ b/modules/cr_relay/flow/cr_RelayShared.h
@@ -35,8 +35,14 @@
   std::map<std::string, LoadAverage, std::less<>> m_pathLoads;
   /** Calls that the host's backend server makes. */
   CallPattern m_pattern;
-  /** Hosts that could not be connected to, and since when. */
-  std::map<HostName, Instant> m_unreached;
+  /** A host that could not be connected to. */
+  struct Unreached
+  {
+    Instant m_since;
+    Instant m_latest;
+  };
+
+  std::map<HostName, Unreached> m_unreached;
   bool m_isLeaving = false;
 };
 
