Routes of calls are told from customers' routes by where requests come from

Change: a gate counts the services of the hosts that a route's requests come from; a route that is never used on the hosts of some services is one of calls. The gate tells with each answer.

--- a/modules/cr_membership/directory/cr_FleetDirectory.cpp
+++ b/modules/cr_membership/directory/cr_FleetDirectory.cpp
@@ -38,6 +38,16 @@
   return ready;
 }
 
+std::map<std::string, std::size_t, std::less<>>
+FleetDirectory::CountByService() const
+{
+  std::map<std::string, std::size_t, std::less<>> counts;
+  for (const auto& [host, entry] : m_nodes) {
+    ++counts[entry.m_row.m_service];
+  }
+  return counts;
+}
+
 RowVersion
 FleetDirectory::VersionOf(const HostName& aHost) const
 {
--- a/modules/cr_membership/directory/cr_FleetDirectory.h
+++ b/modules/cr_membership/directory/cr_FleetDirectory.h
@@ -30,6 +30,9 @@
       ordered by host. */
   std::map<std::string, std::vector<NodeRow>> ReadyByService() const;
 
+  /** Returns the number of nodes by the service of their host. */
+  std::map<std::string, std::size_t, std::less<>> CountByService() const;
+
   /** Returns the version of a host's row; 0 when it has none. */
   RowVersion VersionOf(const HostName& aHost) const;
 
--- a/modules/cr_relay/decisions/cr_RelayDecisions.cpp
+++ b/modules/cr_relay/decisions/cr_RelayDecisions.cpp
@@ -191,10 +191,11 @@
     if (auto* forward = std::get_if<ForwardRequest>(&action);
         forward != nullptr && forward->m_peer == m_shared.m_settings.m_peer) {
       m_own.insert(forward->m_call);
-      m_gate.Handle(
-        PeerRequestArrived{ forward->m_call, std::move(forward->m_header) },
-        aNow,
-        further);
+      m_gate.Handle(PeerRequestArrived{ forward->m_call,
+                                        std::move(forward->m_header),
+                                        m_shared.m_settings.m_service },
+                    aNow,
+                    further);
     } else if (auto* cancel = std::get_if<CancelForward>(&action);
                cancel != nullptr && m_own.erase(cancel->m_call) > 0) {
       m_gate.Handle(SenderGone{ cancel->m_call }, aNow, further);
--- a/modules/cr_relay/event/cr_RelayEvent.h
+++ b/modules/cr_relay/event/cr_RelayEvent.h
@@ -21,8 +21,6 @@
   std::string m_target;
   /** How long the sender waits; the route's timeout when it does not say. */
   std::optional<Duration> m_patience;
-  /** The host's own backend server sent it. */
-  bool m_isFromServer = false;
 };
 
 /** Another node passes a request on to this node's gate. */
@@ -30,6 +28,8 @@
 {
   CallId m_call{};
   RelayHeader m_header;
+  /** Service of the host that the request comes from. */
+  std::string m_origin;
 };
 
 /** The sender of a request closed its connection before the answer. */
--- a/modules/cr_relay/event/cr_RelayTypes.h
+++ b/modules/cr_relay/event/cr_RelayTypes.h
@@ -45,7 +45,8 @@
   Duration m_remaining = Duration::zero();
   /** Longest time to wait for a slot before a refusal is better. */
   Duration m_longestWait = Duration::zero();
-  /** A backend server made the request for one that it runs. */
+  /** The request is a call that a backend server makes for one that it
+      runs. */
   bool m_isBegun = false;
   bool m_isIdempotent = false;
   /** Configuration in force at the sender. */
@@ -61,6 +62,9 @@
   bool m_isServerError = false;
   /** The request reached a backend server, whether or not it ran. */
   bool m_hasReached = false;
+  /** The gate finds that the request's route is one by which backend servers
+      call each other. @see RouteOrigins */
+  bool m_isCalledRoute = false;
   /** Load of the answering node's own gate. @see OfferedLoad */
   double m_gateLoad = 0;
   /** Greatest load on the way of the request, the gate's included. */
--- a/modules/cr_relay/flow/cr_RelayControl.cpp
+++ b/modules/cr_relay/flow/cr_RelayControl.cpp
@@ -192,6 +192,7 @@
   for (const RowChange& change : aNews.m_changes) {
     m_shared.m_unreached.erase(change.m_row.m_key);
   }
+  m_shared.m_hostCounts = m_shared.m_directory.CountByService();
   std::map<std::string, std::vector<RouteTarget>> targets;
   for (const auto& [service, rows] : m_shared.m_directory.ReadyByService()) {
     std::transform(
--- a/modules/cr_relay/flow/cr_RelayEntry.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntry.cpp
@@ -91,7 +91,6 @@
   call.m_table = m_shared.m_routes.Current();
   call.m_route = call.m_table->Find(aEvent.m_hostName, aEvent.m_target);
   call.m_arrived = aNow;
-  call.m_isBegun = aEvent.m_isFromServer;
   call.m_deadline = aNow + aEvent.m_patience.value_or(Seconds(1));
   if (m_shared.m_routes.InForce() == 0) {
     Refuse(call, Reason::StoreUnavailable, aNow, aActions);
@@ -107,6 +106,7 @@
              call.m_route->m_timeout);
   call.m_deadline = aNow + patience;
   call.m_service = m_rotation.Next(*call.m_route);
+  call.m_isBegun = m_shared.m_calledRoutes.contains(call.m_route->m_name);
   if (call.m_isBegun) {
     m_shared.m_pattern.CountCall(call.m_route->m_name, aNow);
   } else if (m_shared.m_settings.m_isGoverned && !IsLetIn(aEvent, call, aNow)) {
@@ -351,6 +351,14 @@
                       Instant aNow)
 {
   const std::string& name = aCall.m_route->m_name;
+  if (!aReport.m_hasReached && aReport.m_reason != Reason::Overloaded) {
+    return;
+  }
+  if (aReport.m_isCalledRoute) {
+    m_shared.m_calledRoutes.insert(name);
+  } else {
+    m_shared.m_calledRoutes.erase(name);
+  }
   if (aReport.m_pathLoad <= 0) {
     return;
   }
--- a/modules/cr_relay/flow/cr_RelayGate.cpp
+++ b/modules/cr_relay/flow/cr_RelayGate.cpp
@@ -93,6 +93,7 @@
     return;
   }
   m_load.CountArrival(aEvent.m_header.m_route, aNow);
+  m_origins.Count(aEvent.m_header.m_route, aEvent.m_origin, aNow);
   m_calls.emplace(
     aEvent.m_call,
     Call{ aEvent.m_header, aNow + aEvent.m_header.m_remaining, {}, false });
@@ -302,6 +303,8 @@
     std::max(aReport.m_gateLoad,
              m_shared.LoadBelow(call->second.m_header.m_route, aNow));
   aReport.m_generation = m_shared.m_routes.InForce();
+  aReport.m_isCalledRoute =
+    m_origins.IsCalled(call->second.m_header.m_route, m_shared.m_hostCounts);
   m_calls.erase(call);
   aActions.emplace_back(AnswerPeer{ aCall, aReport });
 }
--- a/modules/cr_relay/flow/cr_RelayGate.h
+++ b/modules/cr_relay/flow/cr_RelayGate.h
@@ -99,6 +99,7 @@
   ServerAnnouncements m_announcements;
   SlotQueue m_queue;
   OfferedLoad m_load;
+  RouteOrigins m_origins;
   std::unordered_map<CallId, Call> m_calls;
   /* Hand-overs in a row that found nobody. */
   int m_unreachable = 0;
--- a/modules/cr_relay/flow/cr_RelayShared.h
+++ b/modules/cr_relay/flow/cr_RelayShared.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "cr_admission/cr_admission.h"
@@ -33,6 +34,10 @@
   std::map<std::string, Router, std::less<>> m_routers;
   /** Greatest load on the way of the requests of each route, as told. */
   std::map<std::string, LoadAverage, std::less<>> m_pathLoads;
+  /** Routes by which backend servers call each other, as gates tell. */
+  std::set<std::string, std::less<>> m_calledRoutes;
+  /** Number of nodes by service. */
+  RouteOrigins::HostCounts m_hostCounts;
   /** Calls that the host's backend server makes. */
   CallPattern m_pattern;
   /** A host that could not be connected to. */
--- a/modules/cr_relay/tests/cr_RelayEntryTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayEntryTest.cpp
@@ -141,7 +141,12 @@
 TEST(RelayEntry, WorkThatHasBegunIsTriedAtOneMoreGate)
 {
   Entry node;
-  const CallId call = node.Request("/status/9", true);
+  RelayReport called = kCompleted;
+  called.m_isCalledRoute = true;
+  const CallId before = node.Request("/status/8");
+  node.OneHost();
+  node.Answer(before, called);
+  const CallId call = node.Request("/status/9");
   const std::string first = node.OneHost();
   node.Answer(call, kFull);
   EXPECT_NE(node.OneHost(), first);
--- a/modules/cr_relay/tests/cr_RelayGateTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayGateTest.cpp
@@ -219,7 +219,7 @@
         header.m_longestWait = Milliseconds(200);
         const CallId call{ 1000U + static_cast<std::uint64_t>(step) };
         open.insert(call);
-        node.Feed(PeerRequestArrived{ call, header });
+        node.Feed(PeerRequestArrived{ call, header, "front" });
       }
     }
     settle();
--- a/modules/cr_relay/tests/cr_RelayTestNode.h
+++ b/modules/cr_relay/tests/cr_RelayTestNode.h
@@ -100,7 +100,7 @@
     Feed(ServerAnnounced{ announcement });
   }
 
-  CallId Request(const std::string& aTarget, bool aIsFromServer = false)
+  CallId Request(const std::string& aTarget)
   {
     const CallId call{ ++m_calls };
     RequestArrived event;
@@ -108,7 +108,6 @@
     event.m_hostName = "shop";
     event.m_target = aTarget;
     event.m_patience = Seconds(5);
-    event.m_isFromServer = aIsFromServer;
     Feed(event);
     return call;
   }
@@ -122,7 +121,7 @@
     header.m_remaining = Seconds(5);
     header.m_longestWait = aLongestWait;
     header.m_isIdempotent = aIsIdempotent;
-    Feed(PeerRequestArrived{ call, header });
+    Feed(PeerRequestArrived{ call, header, "front" });
     return call;
   }
 
--- a/modules/cr_relay_server/dialect/cr_PeerWire.cpp
+++ b/modules/cr_relay_server/dialect/cr_PeerWire.cpp
@@ -5,7 +5,7 @@
 namespace {
 
 constexpr Json::ArrayIndex kHeaderSize = 7;
-constexpr Json::ArrayIndex kReportSize = 7;
+constexpr Json::ArrayIndex kReportSize = 8;
 /* Loads travel in thousandths. */
 constexpr double kLoadScale = 1000;
 
@@ -73,6 +73,7 @@
   value.append(std::string(ToText(aReport.m_reason)));
   value.append(aReport.m_isServerError ? 1 : 0);
   value.append(aReport.m_hasReached ? 1 : 0);
+  value.append(aReport.m_isCalledRoute ? 1 : 0);
   value.append(ToThousandths(aReport.m_gateLoad));
   value.append(ToThousandths(aReport.m_pathLoad));
   value.append(Json::UInt64(aReport.m_generation));
@@ -99,6 +100,7 @@
     report.m_reason = *reason;
     report.m_isServerError = next().asInt() != 0;
     report.m_hasReached = next().asInt() != 0;
+    report.m_isCalledRoute = next().asInt() != 0;
     report.m_gateLoad = static_cast<double>(next().asInt64()) / kLoadScale;
     report.m_pathLoad = static_cast<double>(next().asInt64()) / kLoadScale;
     report.m_generation = next().asUInt64();
--- a/modules/cr_relay_server/server/cr_RelayMetrics.h
+++ b/modules/cr_relay_server/server/cr_RelayMetrics.h
@@ -15,7 +15,7 @@
   RelayMetrics();
 
   //==========================================================================
-  /** Counts a request that arrived; aAt is `customer`, `server` or `peer`. */
+  /** Counts a request that arrived; aAt is `entry` or `peer`. */
   void CountRequest(std::string_view aAt);
 
   /** Counts the final answer of a request, and the time since it arrived. */
--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -226,21 +226,18 @@
                                             const HttpResponder& aResponder)
 {
   const auto& names = m_dialect.m_headers;
-  const bool isFromServer = aRequest.m_sender == m_settings.m_server.m_address;
   RequestArrived event;
   event.m_hostName = FindHeader(aRequest.m_headers, "Host");
   event.m_target = aRequest.m_target;
   event.m_patience =
     ReadPatience(FindHeader(aRequest.m_headers, names.m_patience));
-  event.m_isFromServer = isFromServer;
   if (FindHeader(aRequest.m_headers, names.m_requestId).empty()) {
     aResponder.Send(MakeTextResponse(
       kHttpBadRequest, "the header " + names.m_requestId + " is missing\n"));
     m_log.Write("malformed", "\"why\":\"no request identifier\"");
     return;
   }
-  const CallId call = OpenCall(
-    std::move(aRequest), aResponder, isFromServer ? "server" : "customer");
+  const CallId call = OpenCall(std::move(aRequest), aResponder, "entry");
   event.m_call = call;
   if (m_refusesAll) {
     Do(RefuseRequest{
@@ -271,8 +268,10 @@
   }
   const Endpoint sender{ aRequest.m_sender, m_settings.m_relay.m_peer.m_port };
   const Generation generation = header->m_generation;
+  std::string origin(
+    FindHeader(aRequest.m_headers, m_dialect.m_headers.m_callerService));
   const CallId call = OpenCall(std::move(aRequest), aResponder, "peer");
-  Feed(PeerRequestArrived{ call, std::move(*header) });
+  Feed(PeerRequestArrived{ call, std::move(*header), std::move(origin) });
   NoteGeneration(generation, sender);
 }
 
