--- a/modules/cr_relay/event/cr_RelayAction.h
+++ b/modules/cr_relay/event/cr_RelayAction.h
@@ -54,7 +54,11 @@
   unsigned m_status = 503;
   Reason m_reason = Reason::None;
   /** When the sender should come back; only where the request was not run. */
-  std::optional<Duration> m_retryAfter;
+  std::optional<Duration> m_retryAfter{};
+  /** For the log: share of the route's requests that was let in, and the host
+      that was tried last; empty when none was. */
+  double m_share = 1;
+  HostName m_host{};
 };
 
 /** Answer another node; with the backend server's answer when the outcome is
--- a/modules/cr_relay/flow/cr_RelayEntry.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntry.cpp
@@ -100,8 +100,8 @@
     return;
   }
   if (call.m_route == nullptr) {
-    aActions.emplace_back(RefuseRequest{
-      aEvent.m_call, kStatusNotFound, Reason::UnknownService, std::nullopt });
+    aActions.emplace_back(
+      RefuseRequest{ aEvent.m_call, kStatusNotFound, Reason::UnknownService });
     return;
   }
   const Duration patience =
@@ -410,7 +410,9 @@
       RefuseRequest{ aCall.m_id,
                      isLate ? kStatusTimeout : kStatusBadGateway,
                      aCall.m_lastReason,
-                     std::nullopt });
+                     std::nullopt,
+                     ShareOf(aCall.m_route->m_name),
+                     aCall.m_tried.empty() ? "" : aCall.m_tried.back() });
   }
   m_calls.erase(aCall.m_id);
 }
@@ -422,7 +424,12 @@
                    RelayActions& aActions)
 {
   aActions.emplace_back(RefuseRequest{
-    aCall.m_id, kStatusUnavailable, aReason, RetryAfter(aCall, aNow) });
+    aCall.m_id,
+    kStatusUnavailable,
+    aReason,
+    RetryAfter(aCall, aNow),
+    aCall.m_route != nullptr ? ShareOf(aCall.m_route->m_name) : 1,
+    aCall.m_tried.empty() ? "" : aCall.m_tried.back() });
 }
 
 Duration
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -255,13 +255,15 @@
     open->m_id,
     fmt::format("\"status\":{},\"reason\":\"{}\",\"at\":\"{}\","
                 "\"target\":\"{}\",\"held_ms\":{},\"retry_after_ms\":{},"
-                "\"generation\":{}",
+                "\"share\":{:.2f},\"tried\":\"{}\",\"generation\":{}",
                 aAction.m_status,
                 ToText(aAction.m_reason),
                 open->m_at,
                 EscapeJson(open->m_request->m_target),
                 ToMilliseconds(IoThreads::Now() - open->m_arrived),
                 ToMilliseconds(aAction.m_retryAfter.value_or(Duration::zero())),
+                aAction.m_share,
+                aAction.m_host,
                 m_documentGeneration));
   HttpResponse response = MakeTextResponse(
     aAction.m_status, std::string(ToText(aAction.m_reason)) + "\n");
