Relay as real processes' parts on loopback; the platform stand-in holds watches

Change: RelayFleet starts nodes, small backend servers and the stand-in in one process; the stand-in answers a watch when something changes, refuses on demand and forgets its history. Tests: requests pass unchanged, a store that refuses, an acknowledged leave, shutdown, bad input at each port, wire forms.

--- /dev/null
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.cpp
@@ -0,0 +1,204 @@
+#include "tests/cr_RelayFleet.h"
+
+#include <gtest/gtest.h>
+
+#include <sstream>
+#include <thread>
+
+namespace cr {
+
+namespace {
+
+/* Documents of these tests: the generation, then names of services. */
+Expected<RouteConfiguration>
+ReadTestRoutes(std::string_view aText)
+{
+  std::istringstream text{ std::string(aText) };
+  RouteConfiguration configuration;
+  if (!(text >> configuration.m_generation)) {
+    return Failure(ErrorCode::Malformed, "no generation");
+  }
+  std::string service;
+  while (text >> service) {
+    RouteDescription route;
+    route.m_name = service;
+    route.m_host = "shop";
+    route.m_prefix = "/" + service + "/";
+    route.m_services = { { service, 1 } };
+    route.m_idempotent = service != "booking";
+    route.m_attempts = 2;
+    route.m_timeout = Seconds(3);
+    configuration.m_routes.push_back(route);
+    configuration.m_services[service] = { "/health" };
+  }
+  return configuration;
+}
+
+/* Announcements of these tests: service, sequence, and 1 when leaving. */
+Expected<ControlMessage>
+ReadTestControl(const HttpRequest& aRequest)
+{
+  std::istringstream text(aRequest.m_body);
+  ServerAnnouncement announcement;
+  announcement.m_id = "server";
+  announcement.m_slots = 8;
+  announcement.m_born = 1000;
+  if (!(text >> announcement.m_service >> announcement.m_sequence >>
+        announcement.m_isLeaving)) {
+    return Failure(ErrorCode::Malformed, "no announcement");
+  }
+  return ControlMessage(ServerAnnounced{ announcement });
+}
+
+}
+
+RelayFleet::RelayFleet(const std::vector<std::string>& aServices)
+  : m_platformAddress(m_platform.Listen({ "127.0.0.1", 0 }).value())
+{
+  for (const std::string& service : aServices) {
+    StartHost(service);
+  }
+}
+
+RelayFleet::~RelayFleet()
+{
+  for (const auto& host : m_hosts) {
+    host->m_node.reset();
+    host->m_server->Close();
+  }
+  m_threads.Stop();
+}
+
+RelayDialect
+RelayFleet::Dialect() const
+{
+  RelayDialect dialect;
+  dialect.m_readRoutes = ReadTestRoutes;
+  dialect.m_readControl = ReadTestControl;
+  dialect.m_writeStoreCall = [](const StoreRequest& aRequest) {
+    HttpRequest request;
+    request.m_method = "POST";
+    request.m_target = kStorePath;
+    request.m_body = EncodeStoreRequest(aRequest);
+    return request;
+  };
+  dialect.m_readStoreAnswer = [](const StoreRequest& /*aRequest*/,
+                                 const HttpResult& aResult) -> StoreAnswer {
+    const auto* response = std::get_if<HttpResponse>(&aResult);
+    return response != nullptr ? DecodeStoreAnswer(response->m_body)
+                               : StoreAnswer(StoreFailed{ "no answer" });
+  };
+  return dialect;
+}
+
+void
+RelayFleet::StartHost(const std::string& aService)
+{
+  auto host = std::make_unique<Host>();
+  host->m_address = "127.0.8." + std::to_string(m_hosts.size() + 1);
+  Host* self = host.get();
+  host->m_server = std::make_unique<HttpServer>(
+    m_threads, HttpLimits{}, [this, self](HttpRequest aRequest, auto aAnswer) {
+      HttpResponse response;
+      response.m_headers = {
+        { "Cr-Request",
+          std::string(FindHeader(aRequest.m_headers, "Cr-Request")) },
+        { "Cr-Server", "server" },
+        { "Cr-Server-Load", "0,0,8" }
+      };
+      if (aRequest.m_target == "/health") {
+        aAnswer.Send(response);
+        return;
+      }
+      ++self->m_runs;
+      response.m_body =
+        aRequest.m_method + " " + aRequest.m_target + " " + aRequest.m_body +
+        " from " +
+        std::string(FindHeader(aRequest.m_headers, "Cr-Caller-Service"));
+      m_threads.After(self->m_time,
+                      [aAnswer, response] { aAnswer.Send(response); });
+    });
+  host->m_server->Listen({ host->m_address, kServer }).value();
+  RelayServerSettings settings;
+  settings.m_relay.m_host = host->m_address;
+  settings.m_relay.m_incarnation = Incarnation{ 1 };
+  settings.m_relay.m_region = "region";
+  settings.m_relay.m_dataCentre = "centre";
+  settings.m_relay.m_peer = { host->m_address, kPeers };
+  settings.m_relay.m_service = aService;
+  settings.m_relay.m_routesRow = { "operator", "routes" };
+  settings.m_relay.m_seed = m_hosts.size();
+  settings.m_customers = { host->m_address, kCustomers };
+  settings.m_operators = { host->m_address, kOperators };
+  settings.m_control = { host->m_address, kControl };
+  settings.m_server = { host->m_address, kServer };
+  settings.m_platform = m_platformAddress;
+  host->m_node = std::make_unique<RelayServer>(settings, Dialect());
+  EXPECT_TRUE(host->m_node->Start());
+  m_hosts.push_back(std::move(host));
+}
+
+void
+RelayFleet::WriteRoutes(Generation aGeneration,
+                        const std::vector<std::string>& aServices)
+{
+  std::string document = std::to_string(aGeneration);
+  for (const std::string& service : aServices) {
+    document += " " + service;
+  }
+  m_platform.Execute(
+    TransactRequest{ {}, { { { "operator", "routes" }, document } } });
+}
+
+HttpResponse
+RelayFleet::Ask(std::size_t aHost, std::uint16_t aPort, HttpRequest aRequest)
+{
+  const auto result = m_client.SendAndWait(
+    { At(aHost).m_address, aPort }, std::move(aRequest), Seconds(5));
+  const auto* response = std::get_if<HttpResponse>(&result);
+  return response != nullptr ? *response : HttpResponse{ 0, {}, "no answer" };
+}
+
+unsigned
+RelayFleet::Announce(std::size_t aHost, int aSequence, bool aIsLeaving)
+{
+  HttpRequest request;
+  request.m_method = "PUT";
+  request.m_body =
+    "status " + std::to_string(aSequence) + (aIsLeaving ? " 1" : " 0");
+  return Ask(aHost, kControl, std::move(request)).m_status;
+}
+
+HttpResponse
+RelayFleet::Send(std::size_t aHost,
+                 const std::string& aTarget,
+                 HttpHeaders aHeaders)
+{
+  HttpRequest request;
+  request.m_method = "POST";
+  request.m_target = aTarget;
+  request.m_body = "body";
+  request.m_headers = std::move(aHeaders);
+  request.m_headers.push_back({ "Host", "shop" });
+  request.m_headers.push_back({ "Cr-Request", std::to_string(++m_requests) });
+  request.m_headers.push_back({ "Cr-Remaining-Ms", "3000" });
+  return Ask(aHost, kCustomers, std::move(request));
+}
+
+unsigned
+RelayFleet::SendUntil(std::size_t aHost,
+                      const std::string& aTarget,
+                      unsigned aStatus)
+{
+  unsigned status = 0;
+  for (int attempt = 0; attempt < 100; ++attempt) {
+    status = Send(aHost, aTarget).m_status;
+    if (status == aStatus) {
+      break;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return status;
+}
+
+}
--- /dev/null
+++ b/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
@@ -0,0 +1,150 @@
+#include <gtest/gtest.h>
+
+#include <future>
+#include <thread>
+
+#include "cr_relay_server/dialect/cr_PeerWire.h"
+#include "tests/cr_RelayFleet.h"
+
+namespace cr {
+
+namespace {
+
+TEST(PeerWire, HeaderAndReportTravelUnchanged)
+{
+  RelayHeader header;
+  header.m_service = "pri\"cing";
+  header.m_route = "r-1";
+  header.m_remaining = Milliseconds(700);
+  header.m_longestWait = Milliseconds(19);
+  header.m_isBegun = true;
+  header.m_generation = 12;
+  const auto readHeader = DecodeRelayHeader(EncodeRelayHeader(header));
+  ASSERT_TRUE(readHeader);
+  EXPECT_EQ(readHeader->m_service, header.m_service);
+  EXPECT_EQ(readHeader->m_longestWait, header.m_longestWait);
+  EXPECT_TRUE(readHeader->m_isBegun);
+  EXPECT_FALSE(readHeader->m_isIdempotent);
+  RelayReport report;
+  report.m_outcome = Outcome::NotRun;
+  report.m_reason = Reason::Leaving;
+  report.m_isCalledRoute = true;
+  report.m_pathLoad = 1.25;
+  const auto readReport = DecodeRelayReport(EncodeRelayReport(report));
+  ASSERT_TRUE(readReport);
+  EXPECT_EQ(readReport->m_outcome, Outcome::NotRun);
+  EXPECT_EQ(readReport->m_reason, Reason::Leaving);
+  EXPECT_TRUE(readReport->m_isCalledRoute);
+  EXPECT_DOUBLE_EQ(readReport->m_pathLoad, 1.25);
+  for (const char* text : { "",
+                            "{}",
+                            "[]",
+                            "[1,2,3,4,5,6,7,8]",
+                            "null",
+                            R"(["a","b","c",1,0,0,1])" }) {
+    EXPECT_FALSE(DecodeRelayHeader(text)) << text;
+    EXPECT_FALSE(DecodeRelayReport(text)) << text;
+  }
+}
+
+TEST(RelayServer, RequestsReachTheirServiceUnchangedFromAnyNode)
+{
+  RelayFleet fleet({ "status", "booking" });
+  EXPECT_EQ(fleet.Send(0, "/status/7").m_status, kHttpUnavailable);
+  fleet.WriteRoutes(1, { "status", "booking" });
+  EXPECT_EQ(fleet.SendUntil(0, "/booking/7?x=1", kHttpOk), kHttpOk);
+  EXPECT_EQ(fleet.SendUntil(1, "/status/7", kHttpOk), kHttpOk);
+  EXPECT_EQ(fleet.Send(0, "/booking/7?x=1").m_body,
+            "POST /booking/7?x=1 body from status");
+  EXPECT_EQ(fleet.Send(0, "/elsewhere/7").m_status, kHttpNotFound);
+  EXPECT_EQ(
+    fleet.Ask(0, RelayFleet::kOperators, { "GET", "/ready", {}, "" }).m_status,
+    kHttpOk);
+  const auto metrics =
+    fleet.Ask(0, RelayFleet::kOperators, { "GET", "/metrics", {}, "" });
+  EXPECT_NE(metrics.m_body.find("corianderrack_relay_generation 1"),
+            std::string::npos);
+}
+
+TEST(RelayServer, AStoreThatRefusesIsRiddenOutAndCaughtUpWith)
+{
+  RelayFleet fleet({ "status", "booking" });
+  fleet.WriteRoutes(1, { "status", "booking" });
+  ASSERT_EQ(fleet.SendUntil(0, "/booking/7", kHttpOk), kHttpOk);
+  ASSERT_EQ(fleet.SendUntil(1, "/status/7", kHttpOk), kHttpOk);
+  PlatformFaults faults;
+  faults.m_refuses = true;
+  fleet.m_platform.SetFaults(faults);
+  EXPECT_EQ(fleet.Send(0, "/booking/7").m_status, kHttpOk);
+  fleet.WriteRoutes(2, { "status" });
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  EXPECT_EQ(fleet.Send(0, "/booking/7").m_status, kHttpOk);
+  faults.m_refuses = false;
+  fleet.m_platform.SetFaults(faults);
+  EXPECT_EQ(fleet.SendUntil(0, "/booking/7", kHttpNotFound), kHttpNotFound);
+}
+
+TEST(RelayServer, AfterAnAcknowledgedLeaveTheServerGetsNothing)
+{
+  RelayFleet fleet({ "status", "booking" });
+  fleet.WriteRoutes(1, { "status", "booking" });
+  ASSERT_EQ(fleet.SendUntil(1, "/status/7", kHttpOk), kHttpOk);
+  EXPECT_EQ(fleet.Announce(0, 1), kHttpOk);
+  ASSERT_EQ(fleet.Send(1, "/status/7").m_status, kHttpOk);
+  EXPECT_EQ(fleet.Announce(0, 2, true), kHttpOk);
+  const int runs = fleet.At(0).m_runs;
+  for (int request = 0; request < 20; ++request) {
+    EXPECT_EQ(fleet.Send(1, "/status/7").m_status, kHttpUnavailable);
+  }
+  EXPECT_EQ(fleet.At(0).m_runs, runs);
+  EXPECT_EQ(fleet.Announce(0, 3), kHttpOk);
+  EXPECT_EQ(fleet.Send(1, "/status/7").m_status, kHttpUnavailable);
+}
+
+TEST(RelayServer, ShutdownCutsOffNothingAndSendsCustomersElsewhere)
+{
+  RelayFleet fleet({ "status", "booking" });
+  fleet.WriteRoutes(1, { "status", "booking" });
+  ASSERT_EQ(fleet.SendUntil(1, "/status/7", kHttpOk), kHttpOk);
+  fleet.At(0).m_time = Milliseconds(400);
+  auto running = std::async(
+    std::launch::async, [&] { return fleet.Send(1, "/status/8").m_status; });
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  auto ending = std::async(std::launch::async,
+                           [&] { return fleet.At(0).m_node->Shutdown(); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  EXPECT_EQ(
+    fleet.Ask(0, RelayFleet::kOperators, { "GET", "/ready", {}, "" }).m_status,
+    kHttpUnavailable);
+  EXPECT_EQ(fleet.Send(0, "/booking/9").m_status, kHttpOk);
+  EXPECT_EQ(running.get(), kHttpOk);
+  EXPECT_EQ(ending.get(), 0U);
+}
+
+TEST(RelayServer, BadInputAtEachPortIsAnsweredAndHarmsNothing)
+{
+  RelayFleet fleet({ "status" });
+  fleet.WriteRoutes(1, { "status" });
+  ASSERT_EQ(fleet.SendUntil(0, "/status/7", kHttpOk), kHttpOk);
+  const auto status = [&](std::uint16_t aPort, HttpRequest aRequest) {
+    return fleet.Ask(0, aPort, std::move(aRequest)).m_status;
+  };
+  EXPECT_EQ(status(RelayFleet::kCustomers, { "GET", "/status/7", {}, "" }),
+            kHttpBadRequest);
+  EXPECT_EQ(status(RelayFleet::kPeers, { "GET", "/status/7", {}, "" }),
+            kHttpBadRequest);
+  EXPECT_EQ(
+    status(
+      RelayFleet::kPeers,
+      { "GET", "/status/7", { { std::string(kRelayHeaderName), "[1]" } }, "" }),
+    kHttpBadRequest);
+  EXPECT_EQ(status(RelayFleet::kControl, { "PUT", "/", {}, "\x01\x02" }),
+            kHttpBadRequest);
+  EXPECT_EQ(status(RelayFleet::kOperators, { "GET", "/other", {}, "" }),
+            kHttpNotFound);
+  EXPECT_EQ(fleet.Send(0, "/status/7").m_status, kHttpOk);
+}
+
+}
+
+}
--- a/stand_ins/platform_stand_in/server/cr_PlatformServer.cpp
+++ b/stand_ins/platform_stand_in/server/cr_PlatformServer.cpp
@@ -41,6 +41,7 @@
   ObjectReader reader(document, document.Root(), findings);
   PlatformFaults faults;
   faults.m_down = reader.ReadBoolean("down", false);
+  faults.m_refuses = reader.ReadBoolean("refuses", false);
   faults.m_delay = Milliseconds(reader.ReadInteger("delay_ms", delayRange, 0));
   faults.m_loseEvery =
     static_cast<std::uint32_t>(reader.ReadInteger("lose_every", loseRange, 0));
@@ -51,11 +52,22 @@
   return faults;
 }
 
+/* Pause between two looks for a change that a watch waits for. */
+constexpr Duration kWatchPause = Milliseconds(5);
+
+bool
+IsWithoutChanges(const StoreAnswer& aAnswer)
+{
+  const auto* changes = std::get_if<RowChanges>(&aAnswer);
+  return changes != nullptr && changes->m_changes.empty();
+}
+
 template<typename StatePointer>
 void
 Serve(const StatePointer& aState,
       const std::string& aBody,
-      const HttpResponder& aResponder)
+      const HttpResponder& aResponder,
+      Duration aWaited = Duration::zero())
 {
   const PlatformFaults faults = aState->m_faults.With(
     [](const PlatformFaults& aFaults) { return aFaults; });
@@ -67,8 +79,19 @@
     aResponder.Send(MakeTextResponse(kHttpBadRequest, request.error().m_text));
     return;
   }
-  Count(*aState, *request);
-  const StoreAnswer answer = aState->m_platform.Execute(*request);
+  if (aWaited == Duration::zero()) {
+    Count(*aState, *request);
+  }
+  const StoreAnswer answer = faults.m_refuses
+                               ? StoreAnswer(StoreRefused{ "busy" })
+                               : aState->m_platform.Execute(*request);
+  const auto* watch = std::get_if<WatchRequest>(&*request);
+  if (watch != nullptr && IsWithoutChanges(answer) && aWaited < watch->m_wait) {
+    aState->m_threads.After(kWatchPause, [aState, aBody, aResponder, aWaited] {
+      Serve(aState, aBody, aResponder, aWaited + kWatchPause);
+    });
+    return;
+  }
   const std::uint64_t total = aState->m_writes + aState->m_reads;
   if (faults.m_loseEvery != 0 && total % faults.m_loseEvery == 0) {
     return;
@@ -135,6 +158,18 @@
   m_state->m_faults.With([&](PlatformFaults& aCurrent) { aCurrent = aFaults; });
 }
 
+StoreAnswer
+PlatformServer::Execute(const StoreRequest& aRequest)
+{
+  return m_state->m_platform.Execute(aRequest);
+}
+
+void
+PlatformServer::Compact()
+{
+  m_state->m_platform.Compact();
+}
+
 PlatformLoad
 PlatformServer::Load() const
 {
--- a/stand_ins/platform_stand_in/server/cr_PlatformServer.h
+++ b/stand_ins/platform_stand_in/server/cr_PlatformServer.h
@@ -12,6 +12,8 @@
 {
   /** Requests are not carried out and get no answer. */
   bool m_down = false;
+  /** Requests are refused at once; nothing is done. */
+  bool m_refuses = false;
   /** Time added before each request is carried out. */
   Duration m_delay = Duration::zero();
   /** Writes take effect, but every n-th answer is lost; 0 loses none. */
@@ -26,7 +28,8 @@
 };
 
 /** The in-process platform behind HTTP. `POST /store` carries store requests,
-    `POST /faults` sets faults. All methods are thread safe. */
+    `POST /faults` sets faults. A watch without changes is answered when there
+   is one, or when its time is over. All methods are thread safe. */
 class PlatformServer
 {
 public:
@@ -43,6 +46,12 @@
   /** Replaces the faults. */
   void SetFaults(const PlatformFaults& aFaults);
 
+  /** Carries out a request as if it had come over the network. */
+  StoreAnswer Execute(const StoreRequest& aRequest);
+
+  /** Forgets which rows changed up to now. */
+  void Compact();
+
   //==========================================================================
   /** Returns the requests counted so far. */
   PlatformLoad Load() const;
