A connection whose caller left is closed, though nobody answers its request

Cause: the relay does not answer a request whose sender has gone; the server's session then waited for ever, with its descriptor and memory. Change: the session closes once its caller is gone. Measured: a test with 20 callers that leave had 20 requests in progress for ever, now none within a second.

--- a/modules/cr_admission/share/cr_AdmittedShare.cpp
+++ b/modules/cr_admission/share/cr_AdmittedShare.cpp
@@ -94,10 +94,12 @@
 double
 AdmittedShare::ShareAt(Instant aTime) const
 {
-  for (auto step = m_steps.rbegin(); step != m_steps.rend(); ++step) {
-    if (step->m_since <= aTime) {
-      return step->m_share;
-    }
+  const auto step =
+    std::find_if(m_steps.rbegin(), m_steps.rend(), [&](const Step& aStep) {
+      return aStep.m_since <= aTime;
+    });
+  if (step != m_steps.rend()) {
+    return step->m_share;
   }
   return m_steps.empty() ? m_share : m_steps.front().m_share;
 }
--- a/modules/cr_admission/tests/cr_ShareTest.cpp
+++ b/modules/cr_admission/tests/cr_ShareTest.cpp
@@ -58,7 +58,8 @@
     }
     // Twice the capacity, until the requests in progress hold the chain up.
     requestsDue += 2.0 * slots / 22 / 12;
-    for (; requestsDue >= 1; requestsDue -= 1) {
+    while (requestsDue >= 1) {
+      requestsDue -= 1;
       if (queue.Waiting() < 7 * slots) {
         call(12);
       }
@@ -120,7 +121,8 @@
       m_now += std::chrono::duration_cast<Duration>(kStep);
       TellLoad();
       m_due += perStep;
-      for (; m_due >= 1; m_due -= 1) {
+      while (m_due >= 1) {
+        m_due -= 1;
         Ask(false);
       }
       while (!m_returning.empty() && m_returning.front() <= m_now) {
--- a/modules/cr_relay/flow/cr_RelayEntry.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntry.cpp
@@ -175,8 +175,12 @@
                              aEvent.m_sent,
                              aEvent.m_timedOut) });
   if (!aEvent.m_sent) {
-    m_shared.m_unreached.try_emplace(call.m_target->m_host, aNow, aNow)
-      .first->second.m_latest = aNow;
+    RelayShared::Unreached& unreached =
+      m_shared.m_unreached
+        .try_emplace(call.m_target->m_host,
+                     RelayShared::Unreached{ aNow, aNow })
+        .first->second;
+    unreached.m_latest = aNow;
   }
   RelayReport report;
   report.m_outcome = aEvent.m_sent ? Outcome::Unknown : Outcome::NotRun;
--- a/modules/cr_transport/http/cr_HttpServer.cpp
+++ b/modules/cr_transport/http/cr_HttpServer.cpp
@@ -307,6 +307,9 @@
     if (auto gone = std::exchange(m_gone, nullptr)) {
       gone();
     }
+    // Nobody reads an answer any more.
+    m_waiting = false;
+    CloseSocket();
   }
 
   void WriteAnswer(std::uint64_t aSequence, HttpResponse&& aResponse)
--- a/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
+++ b/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
@@ -258,6 +258,36 @@
   }
 }
 
+/* As on the day scale-2: hundreds of callers a second leave, and nobody answers
+   a request whose caller has left. */
+TEST(HttpPassThrough, AConnectionWhoseCallerLeftIsGivenUpThoughNobodyAnswers)
+{
+  IoThreads threads(1);
+  std::atomic<int> gone{ 0 };
+  HttpServer server(
+    threads,
+    {},
+    [&](const HttpRequest& /*aRequest*/, const HttpResponder& aResponder) {
+      aResponder.WatchCaller([&] { ++gone; });
+    });
+  const Endpoint address = server.Listen({ "127.0.0.1", 0 }).value();
+  boost::asio::io_context context;
+  constexpr int callers = 20;
+  for (int caller = 0; caller < callers; ++caller) {
+    tcp::socket socket(context);
+    socket.connect(
+      { boost::asio::ip::make_address(address.m_address), address.m_port });
+    boost::asio::write(
+      socket, boost::asio::buffer(std::string_view("GET / HTTP/1.1\r\n\r\n")));
+    std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
+  for (int wait = 0; wait < 100 && server.RequestsInProgress() > 0; ++wait) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  EXPECT_EQ(gone, callers);
+  EXPECT_EQ(server.RequestsInProgress(), 0U);
+}
+
 TEST(HttpPassThrough, NewLimitsHoldForRequestsThatFollow)
 {
   Server server({});
