A relay's thread ends before its shell does

Cause: the new shutdown test failed once: the next fleet found its port in use. A handler on the shell's own thread could hold the shell while its owner let go; then the shell was destroyed by that thread, which can't join itself. Change: RelayServer closes and joins before it lets go.

--- a/modules/cr_relay_server/server/cr_RelayServer.cpp
+++ b/modules/cr_relay_server/server/cr_RelayServer.cpp
@@ -10,7 +10,12 @@
 {
 }
 
-RelayServer::~RelayServer() = default;
+/* Ends the thread first: a handler on it may hold the shell for a moment, and a
+   shell can't be destroyed by its own thread. */
+RelayServer::~RelayServer()
+{
+  m_implementation->Close();
+}
 
 Expected<void>
 RelayServer::Start()
--- a/modules/cr_relay_server/server/cr_RelayServer.h
+++ b/modules/cr_relay_server/server/cr_RelayServer.h
@@ -30,6 +30,7 @@
 {
 public:
   RelayServer(RelayServerSettings aSettings, RelayDialect aDialect);
+  /** Closes at once what Shutdown() has not closed. */
   ~RelayServer();
   RelayServer(const RelayServer&) = delete;
   RelayServer& operator=(const RelayServer&) = delete;
--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -163,16 +163,24 @@
     m_isClosed = true;
     return std::size_t{ 0 };
   });
+  Close();
+  m_log.Write("stop", fmt::format("\"phase\":\"ended\",\"cut_off\":{}", open));
+  m_log.Flush();
+  return open;
+}
+
+void
+RelayServer::Implementation::Close()
+{
   for (HttpServer* server : { m_customerServer.get(),
                               m_peerServer.get(),
                               m_controlServer.get(),
                               m_operatorServer.get() }) {
-    server->Close();
+    if (server != nullptr) {
+      server->Close();
+    }
   }
   m_threads.Stop();
-  m_log.Write("stop", fmt::format("\"phase\":\"ended\",\"cut_off\":{}", open));
-  m_log.Flush();
-  return open;
 }
 
 std::unique_ptr<HttpServer>
--- a/modules/cr_relay_server/server/cr_RelayShell.h
+++ b/modules/cr_relay_server/server/cr_RelayShell.h
@@ -21,6 +21,7 @@
   Expected<void> Start();
   void NoteSettings(std::string_view aText);
   std::size_t Shutdown();
+  void Close();
 
 private:
   /* A request from its arrival to its answer. */
