--- a/modules/cr_membership/rows/cr_NodeRow.h
+++ b/modules/cr_membership/rows/cr_NodeRow.h
@@ -4,8 +4,8 @@
 #include <string>
 #include <string_view>
 
-#include "cr_store/cr_store.h"
 #include "cr_settings/cr_settings.h"
+#include "cr_store/cr_store.h"
 
 namespace cr {
 
--- a/modules/cr_node/event/cr_Event.h
+++ b/modules/cr_node/event/cr_Event.h
@@ -9,8 +9,8 @@
 
 #include "cr_core/cr_core.h"
 #include "cr_membership/cr_membership.h"
-#include "cr_store/cr_store.h"
 #include "cr_settings/cr_settings.h"
+#include "cr_store/cr_store.h"
 #include "cr_suspects/cr_suspects.h"
 
 namespace cr {
--- a/modules/cr_ownership/map/cr_OwnershipMap.h
+++ b/modules/cr_ownership/map/cr_OwnershipMap.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "cr_core/cr_core.h"
-#include "cr_store/cr_store.h"
 #include "cr_settings/cr_settings.h"
+#include "cr_store/cr_store.h"
 
 namespace cr {
 
--- a/modules/cr_process/tests/fuzz/cr_ParserInputs.h
+++ b/modules/cr_process/tests/fuzz/cr_ParserInputs.h
@@ -4,10 +4,10 @@
 #include <string_view>
 
 #include "cr_configuration/cr_configuration.h"
-#include "cr_store/cr_store.h"
 #include "cr_process/wire/cr_RumourWire.h"
 #include "cr_rpc/cr_rpc.h"
 #include "cr_settings/cr_settings.h"
+#include "cr_store/cr_store.h"
 
 namespace cr {
 
