--- a/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
+++ b/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
@@ -203,7 +203,7 @@
   explicit Server(HttpLimits aLimits)
     : m_server(m_threads,
                aLimits,
-               [](HttpRequest aRequest, auto aResponder) {
+               [](const HttpRequest& aRequest, const auto& aResponder) {
                  HttpResponse response;
                  response.m_headers = { { "Twice", "1" }, { "Twice", "2" } };
                  response.m_body = aRequest.m_method + aRequest.m_target + "/" +
