Log library is compiled with the product; a test's time is atomic

Cause: the sanitizer for threads does not see what happens inside of a library that was compiled elsewhere, and takes its shared pointers for races; the backend servers of the loopback fleet read their time on other threads than the test that sets it. Change: spdlog's headers in place of its library; std::atomic in RelayFleet.

--- a/cmake/CrModule.cmake
+++ b/cmake/CrModule.cmake
@@ -5,6 +5,7 @@
 find_package(PkgConfig REQUIRED)
 find_package(Boost 1.81 REQUIRED)
 find_package(fmt REQUIRED)
+find_package(spdlog REQUIRED)
 find_package(GTest REQUIRED)
 find_package(benchmark QUIET)
 pkg_check_modules(CR_JSONCPP REQUIRED IMPORTED_TARGET jsoncpp)
@@ -21,6 +22,8 @@
 
 cr_add_external(json PkgConfig::CR_JSONCPP)
 cr_add_external(fmt fmt::fmt)
+# Compiled with the product, so that the sanitizers see all of it.
+cr_add_external(spdlog spdlog::spdlog_header_only)
 cr_add_external(popt PkgConfig::CR_POPT)
 cr_add_external(xxhash PkgConfig::CR_XXHASH)
 cr_add_external(jsonrpc
--- a/modules/cr_relay_server/tests/cr_RelayFleet.h
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.h
@@ -22,7 +22,7 @@
     std::unique_ptr<HttpServer> m_server;
     std::unique_ptr<RelayServer> m_node;
     std::atomic<int> m_runs{ 0 };
-    Duration m_time = Duration::zero();
+    std::atomic<Duration> m_time{ Duration::zero() };
   };
 
   explicit RelayFleet(const std::vector<std::string>& aServices);
