Limits of an older document are not taken either

Cause: a document that another node or a late row offered set the limits of the ports before its generation was looked at; the routes only went forward, the limits did not. Change: what is not newer than the document held is left before anything of it is used. Measured: a test that writes generation 4 with a body limit of 1 after generation 5 got 413 before, and 200 now; the 8 tests of the relay server pass.

--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -403,10 +403,11 @@
                             EscapeJson(routes.error().m_text)));
     return;
   }
-  if (routes->m_generation > m_documentGeneration) {
-    m_documentGeneration = routes->m_generation;
-    m_document = aDocument;
+  if (routes->m_generation <= m_documentGeneration) {
+    return;
   }
+  m_documentGeneration = routes->m_generation;
+  m_document = aDocument;
   HttpLimits limits;
   limits.m_headerBytes = routes->m_limits.m_headerBytes;
   limits.m_bodyBytes = routes->m_limits.m_bodyBytes;
--- a/modules/cr_relay_server/tests/cr_RelayFleet.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.cpp
@@ -9,14 +9,16 @@
 
 namespace {
 
-/* Documents of these tests: the generation, then names of services. */
+/* Documents of these tests: the generation and the greatest body, then names of
+   services. */
 Expected<RouteConfiguration>
 ReadTestRoutes(std::string_view aText)
 {
   std::istringstream text{ std::string(aText) };
   RouteConfiguration configuration;
-  if (!(text >> configuration.m_generation)) {
-    return Failure(ErrorCode::Malformed, "no generation");
+  if (!(text >> configuration.m_generation >>
+        configuration.m_limits.m_bodyBytes)) {
+    return Failure(ErrorCode::Malformed, "no generation or no limit");
   }
   std::string service;
   while (text >> service) {
@@ -141,9 +143,11 @@
 
 void
 RelayFleet::WriteRoutes(Generation aGeneration,
-                        const std::vector<std::string>& aServices)
+                        const std::vector<std::string>& aServices,
+                        std::uint64_t aBodyBytes)
 {
-  std::string document = std::to_string(aGeneration);
+  std::string document =
+    std::to_string(aGeneration) + " " + std::to_string(aBodyBytes);
   for (const std::string& service : aServices) {
     document += " " + service;
   }
--- a/modules/cr_relay_server/tests/cr_RelayFleet.h
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.h
@@ -32,7 +32,8 @@
 
   /** Writes the routes: `/SERVICE/` to each service; "booking" is unsafe. */
   void WriteRoutes(Generation aGeneration,
-                   const std::vector<std::string>& aServices);
+                   const std::vector<std::string>& aServices,
+                   std::uint64_t aBodyBytes = 1000);
 
   /** Lets a host's server announce itself, and returns the status. */
   unsigned Announce(std::size_t aHost, int aSequence, bool aIsLeaving = false);
--- a/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
@@ -84,6 +84,16 @@
   EXPECT_EQ(fleet.SendUntil(0, "/booking/7", kHttpNotFound), kHttpNotFound);
 }
 
+TEST(RelayServer, LimitsOfAnOlderDocumentAreNotTakenEither)
+{
+  RelayFleet fleet({ "status" });
+  fleet.WriteRoutes(5, { "status" });
+  ASSERT_EQ(fleet.SendUntil(0, "/status/7", kHttpOk), kHttpOk);
+  fleet.WriteRoutes(4, { "status" }, 1);
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  EXPECT_EQ(fleet.Send(0, "/status/7").m_status, kHttpOk);
+}
+
 TEST(RelayServer, AfterAnAcknowledgedLeaveTheServerGetsNothing)
 {
   RelayFleet fleet({ "status", "booking" });
