Pieces that stood twice are one; relay types have names of their own

Cause: a second reading of the relay found logic that the project had already, and some that it wrote twice. RelayEntry builds a refusal and reports to the router in one place each. RelayDecisions passes an event to the flow that has a function for it, in place of ten functions of one line. LoadBelow goes over the loads it needs and no longer copies a list of names with every answer. ServerAnnounced and CancelHandOver were names of cr_node too, for other types: they are BackendAnnounced and CancelServerRequest; ServerLeft is BackendLeft beside them. An endpoint in announcements that nobody read is gone. Tests share the row of a ready host. Ruled out: one table for Gate and SlotQueue, and one class for both decisions' handlers of store answers: the shapes are alike, what they decide is not.

--- a/modules/cr_admission/share/cr_CallPattern.cpp
+++ b/modules/cr_admission/share/cr_CallPattern.cpp
@@ -60,16 +60,6 @@
   return CallsPerRequest(aRoute, aCalled) >= kLeastCalls;
 }
 
-std::vector<std::string>
-CallPattern::Called() const
-{
-  std::vector<std::string> names;
-  for (const auto& [name, target] : m_targets) {
-    names.push_back(name);
-  }
-  return names;
-}
-
 void
 CallPattern::Advance(Instant aNow)
 {
--- a/modules/cr_admission/share/cr_CallPattern.h
+++ b/modules/cr_admission/share/cr_CallPattern.h
@@ -33,9 +33,6 @@
   /** Returns whether one request of the route waits for such calls. */
   bool Calls(const std::string& aRoute, const std::string& aCalled) const;
 
-  /** Returns the routes by which the server has made calls. */
-  std::vector<std::string> Called() const;
-
 private:
   struct Target
   {
--- a/modules/cr_membership/announcement/cr_ServerAnnouncements.h
+++ b/modules/cr_membership/announcement/cr_ServerAnnouncements.h
@@ -14,7 +14,6 @@
   /** Name of the server; it may be used again after a restart. */
   std::string m_id;
   std::string m_service;
-  Endpoint m_endpoint;
   std::uint32_t m_slots = 0;
   bool m_isLeaving = false;
   /** Time of its start, which tells restarts apart; nothing when it does not
--- a/modules/cr_relay/decisions/cr_RelayDecisions.cpp
+++ b/modules/cr_relay/decisions/cr_RelayDecisions.cpp
@@ -5,6 +5,20 @@
 
 namespace cr {
 
+namespace {
+
+/* The flow has a function for the event. */
+template<typename Flow, typename Event>
+concept HandlesEvent = requires(Flow& aFlow,
+                                const Event& aEvent,
+                                Instant aNow,
+                                RelayActions& aActions)
+{
+  aFlow.Handle(aEvent, aNow, aActions);
+};
+
+}
+
 RelayDecisions::RelayDecisions(RelaySettings aSettings)
   : m_shared(std::move(aSettings))
   , m_entry(m_shared)
@@ -60,24 +74,22 @@
 bool
 RelayDecisions::IsReady() const
 {
-  return m_control.IsLoaded() && !m_shared.IsLeaving();
+  return m_control.IsLoaded() && !m_shared.m_isLeaving;
 }
 
 //==============================================================================
+/* Each event belongs to the one flow that handles it, but for those below. */
+template<typename Event>
 void
-RelayDecisions::Do(const RequestArrived& aEvent,
-                   Instant aNow,
-                   RelayActions& aActions)
+RelayDecisions::Do(const Event& aEvent, Instant aNow, RelayActions& aActions)
 {
-  m_entry.Handle(aEvent, aNow, aActions);
-}
-
-void
-RelayDecisions::Do(const PeerRequestArrived& aEvent,
-                   Instant aNow,
-                   RelayActions& aActions)
-{
-  m_gate.Handle(aEvent, aNow, aActions);
+  if constexpr (HandlesEvent<RelayEntry, Event>) {
+    m_entry.Handle(aEvent, aNow, aActions);
+  } else if constexpr (HandlesEvent<RelayGate, Event>) {
+    m_gate.Handle(aEvent, aNow, aActions);
+  } else {
+    m_control.Handle(aEvent, aNow, aActions);
+  }
 }
 
 void
@@ -92,54 +104,6 @@
   }
 }
 
-void
-RelayDecisions::Do(const ForwardAnswered& aEvent,
-                   Instant aNow,
-                   RelayActions& aActions)
-{
-  m_entry.Handle(aEvent, aNow, aActions);
-}
-
-void
-RelayDecisions::Do(const ForwardFailed& aEvent,
-                   Instant aNow,
-                   RelayActions& aActions)
-{
-  m_entry.Handle(aEvent, aNow, aActions);
-}
-
-void
-RelayDecisions::Do(const HandOverEnded& aEvent,
-                   Instant aNow,
-                   RelayActions& aActions)
-{
-  m_gate.Handle(aEvent, aNow, aActions);
-}
-
-void
-RelayDecisions::Do(const ServerAnnounced& aEvent,
-                   Instant aNow,
-                   RelayActions& aActions)
-{
-  m_gate.Handle(aEvent, aNow, aActions);
-}
-
-void
-RelayDecisions::Do(const ServerLeft& aEvent,
-                   Instant aNow,
-                   RelayActions& aActions)
-{
-  m_gate.Handle(aEvent, aNow, aActions);
-}
-
-void
-RelayDecisions::Do(const HealthAnswered& aEvent,
-                   Instant aNow,
-                   RelayActions& aActions)
-{
-  m_gate.Handle(aEvent, aNow, aActions);
-}
-
 void
 RelayDecisions::Do(const RelayStoreAnswered& aEvent,
                    Instant aNow,
@@ -149,22 +113,7 @@
   m_entry.NoteFleet();
 }
 
-void
-RelayDecisions::Do(const RoutesOffered& aEvent,
-                   Instant /*aNow*/,
-                   RelayActions& aActions)
-{
-  m_control.Handle(aEvent, aActions);
-}
-
-void
-RelayDecisions::Do(const PeerRoutesEnded& aEvent,
-                   Instant /*aNow*/,
-                   RelayActions& /*aActions*/)
-{
-  m_control.Handle(aEvent);
-}
-
+/* What is due is done after every event. */
 void
 RelayDecisions::Do(const RelayTimerDue& /*aEvent*/,
                    Instant /*aNow*/,
--- a/modules/cr_relay/decisions/cr_RelayDecisions.h
+++ b/modules/cr_relay/decisions/cr_RelayDecisions.h
@@ -65,22 +65,12 @@
   }
 
 private:
-  void Do(const RequestArrived& aEvent, Instant aNow, RelayActions& aActions);
-  void Do(const PeerRequestArrived& aEvent,
-          Instant aNow,
-          RelayActions& aActions);
+  template<typename Event>
+  void Do(const Event& aEvent, Instant aNow, RelayActions& aActions);
   void Do(const SenderGone& aEvent, Instant aNow, RelayActions& aActions);
-  void Do(const ForwardAnswered& aEvent, Instant aNow, RelayActions& aActions);
-  void Do(const ForwardFailed& aEvent, Instant aNow, RelayActions& aActions);
-  void Do(const HandOverEnded& aEvent, Instant aNow, RelayActions& aActions);
-  void Do(const ServerAnnounced& aEvent, Instant aNow, RelayActions& aActions);
-  void Do(const ServerLeft& aEvent, Instant aNow, RelayActions& aActions);
-  void Do(const HealthAnswered& aEvent, Instant aNow, RelayActions& aActions);
   void Do(const RelayStoreAnswered& aEvent,
           Instant aNow,
           RelayActions& aActions);
-  void Do(const RoutesOffered& aEvent, Instant aNow, RelayActions& aActions);
-  void Do(const PeerRoutesEnded& aEvent, Instant aNow, RelayActions& aActions);
   void Do(const RelayTimerDue& aEvent, Instant aNow, RelayActions& aActions);
   void Do(const RelayShutdownAsked& aEvent,
           Instant aNow,
--- a/modules/cr_relay/event/cr_RelayAction.h
+++ b/modules/cr_relay/event/cr_RelayAction.h
@@ -36,7 +36,7 @@
 };
 
 /** Close the connection of a request that was handed over. */
-struct CancelHandOver
+struct CancelServerRequest
 {
   CallId m_call{};
 };
@@ -111,7 +111,7 @@
 using RelayAction = std::variant<ForwardRequest,
                                  CancelForward,
                                  HandOverRequest,
-                                 CancelHandOver,
+                                 CancelServerRequest,
                                  RelayAnswer,
                                  RefuseRequest,
                                  AnswerPeer,
--- a/modules/cr_relay/event/cr_RelayEvent.h
+++ b/modules/cr_relay/event/cr_RelayEvent.h
@@ -62,13 +62,13 @@
 };
 
 /** The backend server announced itself. */
-struct ServerAnnounced
+struct BackendAnnounced
 {
   ServerAnnouncement m_announcement;
 };
 
 /** The backend server says that it has left. */
-struct ServerLeft
+struct BackendLeft
 {
   std::string m_id;
   std::optional<WallMilliseconds> m_born;
@@ -116,8 +116,8 @@
                                 ForwardAnswered,
                                 ForwardFailed,
                                 HandOverEnded,
-                                ServerAnnounced,
-                                ServerLeft,
+                                BackendAnnounced,
+                                BackendLeft,
                                 HealthAnswered,
                                 RelayStoreAnswered,
                                 RoutesOffered,
--- a/modules/cr_relay/flow/cr_LoadAverage.cpp
+++ b/modules/cr_relay/flow/cr_LoadAverage.cpp
@@ -1,5 +1,6 @@
 #include "cr_relay/flow/cr_LoadAverage.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace cr {
--- a/modules/cr_relay/flow/cr_RelayControl.cpp
+++ b/modules/cr_relay/flow/cr_RelayControl.cpp
@@ -70,7 +70,17 @@
 }
 
 void
-RelayControl::Handle(const RoutesOffered& aEvent, RelayActions& aActions)
+RelayControl::Handle(const PeerRoutesEnded& /*aEvent*/,
+                     Instant /*aNow*/,
+                     RelayActions& /*aActions*/)
+{
+  m_isAskingPeer = false;
+}
+
+void
+RelayControl::Handle(const RoutesOffered& aEvent,
+                     Instant /*aNow*/,
+                     RelayActions& aActions)
 {
   const Generation before = m_shared.m_routes.InForce();
   const bool isNew = m_shared.m_routes.Adopt(aEvent.m_configuration);
@@ -104,7 +114,7 @@
 RelayControl::SetServer(const AnnouncedServer& aServer)
 {
   const ServerState state =
-    m_shared.IsLeaving() && aServer.m_state == ServerState::Ready
+    m_shared.m_isLeaving && aServer.m_state == ServerState::Ready
       ? ServerState::Leaving
       : aServer.m_state;
   const std::string& service = aServer.m_service.empty()
--- a/modules/cr_relay/flow/cr_RelayControl.h
+++ b/modules/cr_relay/flow/cr_RelayControl.h
@@ -27,10 +27,14 @@
               RelayActions& aActions);
 
   /** A configuration arrived. */
-  void Handle(const RoutesOffered& aEvent, RelayActions& aActions);
+  void Handle(const RoutesOffered& aEvent,
+              Instant aNow,
+              RelayActions& aActions);
 
   /** Another node was asked for its routes, and has answered or not. */
-  void Handle(const PeerRoutesEnded& /*aEvent*/) { m_isAskingPeer = false; }
+  void Handle(const PeerRoutesEnded& aEvent,
+              Instant aNow,
+              RelayActions& aActions);
 
   /** Another node has the generation in force. */
   void NoteGeneration(Generation aGeneration,
--- a/modules/cr_relay/flow/cr_RelayEntry.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntry.cpp
@@ -65,6 +65,19 @@
           aReport.m_reason == Reason::NoServer);
 }
 
+AttemptResult
+ToResult(const RelayReport& aReport, Duration aLatency)
+{
+  AttemptResult result;
+  result.m_answered =
+    aReport.m_outcome == Outcome::Completed && !aReport.m_isServerError;
+  result.m_refused = aReport.m_outcome == Outcome::NotRun &&
+                     aReport.m_reason == Reason::Overloaded;
+  result.m_latency = aLatency;
+  result.m_level = aReport.m_gateLoad > kBusyLoad ? 1 : 0;
+  return result;
+}
+
 Duration
 Scale(Duration aDuration, double aFactor)
 {
@@ -96,12 +109,11 @@
   call.m_arrived = aNow;
   call.m_deadline = aNow + aEvent.m_patience.value_or(Seconds(1));
   if (m_shared.m_routes.InForce() == 0) {
-    Refuse(call, Reason::StoreUnavailable, aNow, aActions);
+    Refuse(call, kStatusUnavailable, Reason::StoreUnavailable, aNow, aActions);
     return;
   }
   if (call.m_route == nullptr) {
-    aActions.emplace_back(
-      RefuseRequest{ aEvent.m_call, kStatusNotFound, Reason::UnknownService });
+    Refuse(call, kStatusNotFound, Reason::UnknownService, aNow, aActions);
     return;
   }
   const Duration patience =
@@ -113,7 +125,7 @@
   if (call.m_isBegun) {
     m_shared.m_pattern.CountCall(call.m_route->m_name, aNow);
   } else if (m_shared.m_settings.m_isGoverned && !IsLetIn(aEvent, call, aNow)) {
-    Refuse(call, Reason::Overloaded, aNow, aActions);
+    Refuse(call, kStatusUnavailable, Reason::Overloaded, aNow, aActions);
     return;
   }
   m_budget.CountRequest(call.m_service, aNow);
@@ -132,12 +144,9 @@
   }
   Call& call = found->second;
   if (call.m_target) {
-    const auto router = m_shared.m_routers.find(call.m_service);
-    if (router != m_shared.m_routers.end()) {
-      AttemptResult result;
-      result.m_connectionLost = true;
-      router->second.Report(call.m_target->m_host, result, aNow);
-    }
+    AttemptResult result;
+    result.m_connectionLost = true;
+    ReportTarget(call, result, aNow);
     aActions.emplace_back(CancelForward{ call.m_id });
   }
   m_calls.erase(found);
@@ -175,12 +184,9 @@
                              aEvent.m_sent,
                              aEvent.m_timedOut) });
   if (!aEvent.m_sent) {
-    RelayShared::Unreached& unreached =
-      m_shared.m_unreached
-        .try_emplace(call.m_target->m_host,
-                     RelayShared::Unreached{ aNow, aNow })
-        .first->second;
-    unreached.m_latest = aNow;
+    m_shared.m_unreached
+      .try_emplace(call.m_target->m_host, Unreached{ aNow, aNow })
+      .first->second.m_latest = aNow;
   }
   RelayReport report;
   report.m_outcome = aEvent.m_sent ? Outcome::Unknown : Outcome::NotRun;
@@ -301,7 +307,7 @@
                    RelayActions& aActions)
 {
   LearnLoad(aCall, aReport, aNow);
-  ReportTarget(aCall, aReport, aNow);
+  ReportTarget(aCall, ToResult(aReport, aNow - aCall.m_sent), aNow);
   aCall.m_reached += aReport.m_hasReached ? 1 : 0;
   aCall.m_lastReason = aReport.m_reason;
   const bool isAnswered = aReport.m_outcome == Outcome::Completed;
@@ -346,13 +352,8 @@
   const bool mayRunAgain = aCall.m_route->m_idempotent || !aCall.m_mayHaveRun;
   return mayRunAgain && aReport.m_reason != Reason::DeadlineTooShort &&
          aCall.m_reached < aCall.m_route->m_attempts &&
-         aReport.m_pathLoad < kRepeatLoad && TakeRepeat(aCall, aNow);
-}
-
-bool
-RelayEntry::TakeRepeat(const Call& aCall, Instant aNow)
-{
-  return m_budget.Take(aCall.m_service, aNow);
+         aReport.m_pathLoad < kRepeatLoad &&
+         m_budget.Take(aCall.m_service, aNow);
 }
 
 void
@@ -384,18 +385,13 @@
 }
 
 void
-RelayEntry::ReportTarget(Call& aCall, const RelayReport& aReport, Instant aNow)
+RelayEntry::ReportTarget(Call& aCall,
+                         const AttemptResult& aResult,
+                         Instant aNow)
 {
   const auto router = m_shared.m_routers.find(aCall.m_service);
   if (router != m_shared.m_routers.end()) {
-    AttemptResult result;
-    result.m_answered =
-      aReport.m_outcome == Outcome::Completed && !aReport.m_isServerError;
-    result.m_refused = aReport.m_outcome == Outcome::NotRun &&
-                       aReport.m_reason == Reason::Overloaded;
-    result.m_latency = aNow - aCall.m_sent;
-    result.m_level = aReport.m_gateLoad > kBusyLoad ? 1 : 0;
-    router->second.Report(aCall.m_target->m_host, result, aNow);
+    router->second.Report(aCall.m_target->m_host, aResult, aNow);
   }
   aCall.m_target.reset();
 }
@@ -405,35 +401,41 @@
 {
   if (aCall.m_hasErrorAnswer) {
     aActions.emplace_back(RelayAnswer{ aCall.m_id });
-  } else if (!aCall.m_mayHaveRun) {
-    Refuse(aCall, aCall.m_lastReason, aNow, aActions);
   } else {
     const bool isLate = aCall.m_lastReason == Reason::DeadlineTooShort ||
                         aCall.m_deadline <= aNow;
-    aActions.emplace_back(
-      RefuseRequest{ aCall.m_id,
-                     isLate ? kStatusTimeout : kStatusBadGateway,
-                     aCall.m_lastReason,
-                     std::nullopt,
-                     ShareOf(aCall.m_route->m_name),
-                     aCall.m_tried.empty() ? "" : aCall.m_tried.back() });
+    const unsigned mayHaveRun = isLate ? kStatusTimeout : kStatusBadGateway;
+    Refuse(aCall,
+           aCall.m_mayHaveRun ? mayHaveRun : kStatusUnavailable,
+           aCall.m_lastReason,
+           aNow,
+           aActions);
   }
   m_calls.erase(aCall.m_id);
 }
 
+/* Only who was told that the request was not run is told when to return. */
 void
 RelayEntry::Refuse(const Call& aCall,
+                   unsigned aStatus,
                    Reason aReason,
                    Instant aNow,
                    RelayActions& aActions)
 {
-  aActions.emplace_back(RefuseRequest{
-    aCall.m_id,
-    kStatusUnavailable,
-    aReason,
-    RetryAfter(aCall, aNow),
-    aCall.m_route != nullptr ? ShareOf(aCall.m_route->m_name) : 1,
-    aCall.m_tried.empty() ? "" : aCall.m_tried.back() });
+  RefuseRequest refusal;
+  refusal.m_call = aCall.m_id;
+  refusal.m_status = aStatus;
+  refusal.m_reason = aReason;
+  if (aStatus == kStatusUnavailable) {
+    refusal.m_retryAfter = RetryAfter(aCall, aNow);
+  }
+  if (aCall.m_route != nullptr) {
+    refusal.m_share = ShareOf(aCall.m_route->m_name);
+  }
+  if (!aCall.m_tried.empty()) {
+    refusal.m_host = aCall.m_tried.back();
+  }
+  aActions.emplace_back(std::move(refusal));
 }
 
 Duration
--- a/modules/cr_relay/flow/cr_RelayEntry.h
+++ b/modules/cr_relay/flow/cr_RelayEntry.h
@@ -96,11 +96,11 @@
               Instant aNow,
               RelayActions& aActions);
   bool MayTryAgain(const Call& aCall, const RelayReport& aReport, Instant aNow);
-  bool TakeRepeat(const Call& aCall, Instant aNow);
   void LearnLoad(const Call& aCall, const RelayReport& aReport, Instant aNow);
-  void ReportTarget(Call& aCall, const RelayReport& aReport, Instant aNow);
+  void ReportTarget(Call& aCall, const AttemptResult& aResult, Instant aNow);
   void EndUnserved(Call& aCall, Instant aNow, RelayActions& aActions);
   void Refuse(const Call& aCall,
+              unsigned aStatus,
               Reason aReason,
               Instant aNow,
               RelayActions& aActions);
--- a/modules/cr_relay/flow/cr_RelayGate.cpp
+++ b/modules/cr_relay/flow/cr_RelayGate.cpp
@@ -85,7 +85,7 @@
     RelayReport report;
     report.m_outcome = Outcome::NotRun;
     report.m_reason =
-      m_shared.IsLeaving() || Server().m_state == ServerState::Leaving
+      m_shared.m_isLeaving || Server().m_state == ServerState::Leaving
         ? Reason::Leaving
         : Reason::NoServer;
     report.m_generation = m_shared.m_routes.InForce();
@@ -121,7 +121,7 @@
   }
   call->second.m_isSenderGone = true;
   if (call->second.m_header.m_isIdempotent) {
-    aActions.emplace_back(CancelHandOver{ aEvent.m_call });
+    aActions.emplace_back(CancelServerRequest{ aEvent.m_call });
   }
 }
 
@@ -171,7 +171,7 @@
 }
 
 void
-RelayGate::Handle(const ServerAnnounced& aEvent,
+RelayGate::Handle(const BackendAnnounced& aEvent,
                   Instant aNow,
                   RelayActions& aActions)
 {
@@ -182,7 +182,7 @@
 }
 
 void
-RelayGate::Handle(const ServerLeft& aEvent,
+RelayGate::Handle(const BackendLeft& aEvent,
                   Instant aNow,
                   RelayActions& aActions)
 {
@@ -223,7 +223,7 @@
   m_queue.Advance(aNow, decisions);
   Carry(decisions, aNow, aActions);
   if (Server().m_state != ServerState::Absent || m_isAsking ||
-      aNow < m_nextAsk || m_shared.IsLeaving()) {
+      aNow < m_nextAsk || m_shared.m_isLeaving) {
     return;
   }
   const auto& services =
@@ -248,7 +248,7 @@
 {
   std::optional<Instant> due = m_queue.NextDue();
   if (Server().m_state == ServerState::Absent && !m_isAsking &&
-      !m_shared.IsLeaving() && m_shared.m_routes.InForce() > 0) {
+      !m_shared.m_isLeaving && m_shared.m_routes.InForce() > 0) {
     due = std::min(due.value_or(Instant::max()), m_nextAsk);
   }
   return due;
@@ -258,7 +258,7 @@
 bool
 RelayGate::IsOpen() const
 {
-  return Server().m_state == ServerState::Ready && !m_shared.IsLeaving() &&
+  return Server().m_state == ServerState::Ready && !m_shared.m_isLeaving &&
          Server().m_slots > 0;
 }
 
--- a/modules/cr_relay/flow/cr_RelayGate.h
+++ b/modules/cr_relay/flow/cr_RelayGate.h
@@ -36,12 +36,12 @@
 
   /** The backend server announced itself. After the call the gate is open or
       closed as the announcement says. */
-  void Handle(const ServerAnnounced& aEvent,
+  void Handle(const BackendAnnounced& aEvent,
               Instant aNow,
               RelayActions& aActions);
 
   /** The backend server says that it has left. */
-  void Handle(const ServerLeft& aEvent, Instant aNow, RelayActions& aActions);
+  void Handle(const BackendLeft& aEvent, Instant aNow, RelayActions& aActions);
 
   /** The backend server answered a question for its health, or did not. */
   void Handle(const HealthAnswered& aEvent,
--- a/modules/cr_relay/flow/cr_RelayShared.h
+++ b/modules/cr_relay/flow/cr_RelayShared.h
@@ -13,6 +13,14 @@
 
 namespace cr {
 
+/** Since when a host could not be connected to, and when that was last tried.
+ */
+struct Unreached
+{
+  Instant m_since;
+  Instant m_latest;
+};
+
 /** What the flows of a relaying node share. Not thread safe. */
 struct RelayShared
 {
@@ -25,9 +33,6 @@
       backend server runs: that of the calls which it makes for them. */
   double LoadBelow(const std::string& aRoute, Instant aNow) const;
 
-  /** Returns whether the node was told to end. */
-  bool IsLeaving() const { return m_isLeaving; }
-
   const RelaySettings m_settings;
   RouteHolder m_routes;
   FleetDirectory m_directory;
@@ -40,14 +45,9 @@
   RouteOrigins::HostCounts m_hostCounts;
   /** Calls that the host's backend server makes. */
   CallPattern m_pattern;
-  /** A host that could not be connected to. */
-  struct Unreached
-  {
-    Instant m_since;
-    Instant m_latest;
-  };
-
+  /** Hosts that could not be connected to. */
   std::map<HostName, Unreached> m_unreached;
+  /** The node was told to end. */
   bool m_isLeaving = false;
 };
 
--- a/modules/cr_relay/tests/cr_RelayControlTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayControlTest.cpp
@@ -9,11 +9,14 @@
 /* A node before a platform that may refuse, lose answers or be late. */
 struct Control : RelayTestNode
 {
-  /* Answers the calls that wait, watches included, until there are none. */
+  /* Answers the calls that wait; watches without changes go on waiting. */
   void Answer()
   {
     for (int round = 0; round < 4; ++round) {
-      for (const auto& call : Take<RelayCallStore>()) {
+      std::vector<RelayCallStore> calls = Take<RelayCallStore>();
+      calls.insert(calls.end(), m_watches.begin(), m_watches.end());
+      m_watches.clear();
+      for (const RelayCallStore& call : calls) {
         const StoreAnswer answer = m_platform.Execute(call.m_request);
         const auto* changes = std::get_if<RowChanges>(&answer);
         if (changes != nullptr && changes->m_changes.empty()) {
@@ -22,15 +25,6 @@
           Feed(RelayStoreAnswered{ call.m_id, answer });
         }
       }
-      for (const auto& watch : std::exchange(m_watches, {})) {
-        const StoreAnswer answer = m_platform.Execute(watch.m_request);
-        const auto* changes = std::get_if<RowChanges>(&answer);
-        if (changes != nullptr && changes->m_changes.empty()) {
-          m_watches.push_back(watch);
-        } else {
-          Feed(RelayStoreAnswered{ watch.m_id, answer });
-        }
-      }
     }
   }
 
@@ -113,7 +107,7 @@
   again.m_service = "orders";
   again.m_slots = 10;
   again.m_born = 2000;
-  node.Feed(ServerAnnounced{ again });
+  node.Feed(BackendAnnounced{ again });
   node.Wait(Seconds(2));
   node.Answer();
   EXPECT_EQ(node.OwnRow()->m_state, ServerState::Ready);
@@ -167,11 +161,7 @@
   for (const bool isBack : { false, true }) {
     Control node;
     node.AdoptRoutes(1, { RelayTestNode::Route("status", true) });
-    NodeRow row;
-    row.m_host = "host-2";
-    row.m_peer = RelayTestNode::PeerOf("host-2");
-    row.m_service = "status";
-    row.m_state = ServerState::Ready;
+    const NodeRow row = RelayTestNode::ReadyRow("host-2", "status");
     const RowKey key{ std::string(kNodeTable), "host-2" };
     node.m_platform.Execute(
       TransactRequest{ {}, { { key, EncodeNodeRow(row) } } });
--- a/modules/cr_relay/tests/cr_RelayEntryTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayEntryTest.cpp
@@ -71,14 +71,8 @@
     RowChanges changes;
     changes.m_version = 2;
     for (const char* host : { "host-6", "host-7" }) {
-      NodeRow row;
-      row.m_host = host;
-      row.m_peer = PeerOf(host);
-      row.m_service = "booking";
-      row.m_region = "region";
-      row.m_dataCentre = "centre";
-      row.m_state = ServerState::Ready;
-      changes.m_changes.push_back({ { host, EncodeNodeRow(row), 2 }, false });
+      changes.m_changes.push_back(
+        { { host, EncodeNodeRow(ReadyRow(host, "booking")), 2 }, false });
     }
     for (const auto& call : Take<RelayCallStore>()) {
       const auto* watch = std::get_if<WatchRequest>(&call.m_request);
--- a/modules/cr_relay/tests/cr_RelayGateTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayGateTest.cpp
@@ -89,13 +89,13 @@
   node.Take<HandOverRequest>();
   node.Feed(SenderGone{ unsafe });
   node.Feed(SenderGone{ waiting });
-  EXPECT_TRUE(node.Take<CancelHandOver>().empty());
+  EXPECT_TRUE(node.Take<CancelServerRequest>().empty());
   node.Feed(HandOverEnded{ unsafe, ServerVerdict::Answered });
   EXPECT_TRUE(node.Take<HandOverRequest>().empty());
   EXPECT_TRUE(node.Take<AnswerPeer>().empty());
   const CallId safe = node.PeerRequest(true);
   node.Feed(SenderGone{ safe });
-  EXPECT_EQ(node.Take<CancelHandOver>().size(), 1U);
+  EXPECT_EQ(node.Take<CancelServerRequest>().size(), 1U);
 }
 
 TEST(RelayGate, AServerThatNobodyFindsIsAbsentUntilItIsHeardOf)
--- a/modules/cr_relay/tests/cr_RelayTestNode.h
+++ b/modules/cr_relay/tests/cr_RelayTestNode.h
@@ -33,6 +33,20 @@
 
   static Endpoint PeerOf(const std::string& aHost) { return { aHost, 7000 }; }
 
+  /** The row of a host whose backend server is ready. */
+  static NodeRow ReadyRow(const std::string& aHost, const std::string& aService)
+  {
+    NodeRow row;
+    row.m_host = aHost;
+    row.m_incarnation = Incarnation{ 1 };
+    row.m_region = "region";
+    row.m_dataCentre = "centre";
+    row.m_peer = PeerOf(aHost);
+    row.m_service = aService;
+    row.m_state = ServerState::Ready;
+    return row;
+  }
+
   /** A route of the host name "shop" to a service of the same name as the
       prefix. */
   static RouteDescription Route(const std::string& aService, bool aIsIdempotent)
@@ -73,15 +87,8 @@
     RowPage page;
     page.m_version = 1;
     for (const std::string& host : aHosts) {
-      NodeRow row;
-      row.m_host = host;
-      row.m_incarnation = Incarnation{ 1 };
-      row.m_region = "region";
-      row.m_dataCentre = "centre";
-      row.m_peer = PeerOf(host);
-      row.m_service = aService;
-      row.m_state = ServerState::Ready;
-      page.m_rows.push_back({ host, EncodeNodeRow(row), 1 });
+      page.m_rows.push_back(
+        { host, EncodeNodeRow(ReadyRow(host, aService)), 1 });
     }
     Feed(RelayStoreAnswered{ id, page });
   }
@@ -97,7 +104,7 @@
     announcement.m_born = 1000;
     announcement.m_sequence = aSequence;
     announcement.m_isLeaving = aIsLeaving;
-    Feed(ServerAnnounced{ announcement });
+    Feed(BackendAnnounced{ announcement });
   }
 
   CallId Request(const std::string& aTarget, Duration aPatience = Seconds(5))
--- a/modules/cr_relay_server/dialect/cr_RelayDialect.h
+++ b/modules/cr_relay_server/dialect/cr_RelayDialect.h
@@ -31,7 +31,7 @@
 };
 
 /** What a backend server said at the control port. */
-using ControlMessage = std::variant<ServerAnnounced, ServerLeft>;
+using ControlMessage = std::variant<BackendAnnounced, BackendLeft>;
 
 /** How a node speaks with what is outside of the product. All functions are
     thread safe. */
--- a/modules/cr_relay_server/report/cr_RelayLog.cpp
+++ b/modules/cr_relay_server/report/cr_RelayLog.cpp
@@ -8,6 +8,8 @@
 #include <spdlog/async_logger.h>
 #include <spdlog/sinks/stdout_sinks.h>
 
+#include "cr_settings/cr_settings.h"
+
 namespace cr {
 
 namespace {
@@ -98,8 +100,8 @@
                 std::string_view aMembers)
 {
   m_implementation->Write(aEvent,
-                          fmt::format(",\"request\":\"{}\"{}{}",
-                                      EscapeJson(aRequest),
+                          fmt::format(",\"request\":{}{}{}",
+                                      QuoteJson(aRequest),
                                       aMembers.empty() ? "" : ",",
                                       aMembers));
 }
@@ -119,23 +121,9 @@
 }
 
 std::string
-EscapeJson(std::string_view aText)
+QuoteJson(std::string_view aText)
 {
-  constexpr unsigned char firstPrintable = 0x20;
-  constexpr unsigned char lastPlain = 0x7e;
-  std::string escaped;
-  for (const char letter : aText) {
-    const auto code = static_cast<unsigned char>(letter);
-    if (letter == '"' || letter == '\\') {
-      escaped += '\\';
-      escaped += letter;
-    } else if (code < firstPrintable || code > lastPlain) {
-      escaped += fmt::format("\\u{:04x}", code);
-    } else {
-      escaped += letter;
-    }
-  }
-  return escaped;
+  return WriteJson(Json::Value(std::string(aText)));
 }
 
 }
--- a/modules/cr_relay_server/report/cr_RelayLog.h
+++ b/modules/cr_relay_server/report/cr_RelayLog.h
@@ -48,8 +48,8 @@
   std::unique_ptr<Implementation> m_implementation;
 };
 
-/** Returns the text as it may stand within a JSON string. Thread safe. */
+/** Returns the text as a JSON string, with its quotes. Thread safe. */
 std::string
-EscapeJson(std::string_view aText);
+QuoteJson(std::string_view aText);
 
 }
--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -124,7 +124,7 @@
 void
 RelayServer::Implementation::NoteSettings(std::string_view aText)
 {
-  m_log.Write("reload", fmt::format("\"findings\":\"{}\"", EscapeJson(aText)));
+  m_log.Write("reload", fmt::format("\"findings\":{}", QuoteJson(aText)));
 }
 
 std::size_t
@@ -290,9 +290,8 @@
 {
   auto message = m_dialect.m_readControl(aRequest);
   if (!message) {
-    m_log.Write(
-      "malformed",
-      fmt::format("\"why\":\"{}\"", EscapeJson(message.error().m_text)));
+    m_log.Write("malformed",
+                fmt::format("\"why\":{}", QuoteJson(message.error().m_text)));
     const unsigned status = message.error().m_code == ErrorCode::NotFound
                               ? kHttpNotFound
                               : kHttpBadRequest;
@@ -398,9 +397,9 @@
   auto routes = m_dialect.m_readRoutes(aDocument);
   if (!routes) {
     m_log.Write("unreadable-routes",
-                fmt::format("\"source\":\"{}\",\"why\":\"{}\"",
+                fmt::format("\"source\":\"{}\",\"why\":{}",
                             aSource,
-                            EscapeJson(routes.error().m_text)));
+                            QuoteJson(routes.error().m_text)));
     return;
   }
   if (routes->m_generation <= m_documentGeneration) {
--- a/modules/cr_relay_server/server/cr_RelayShell.h
+++ b/modules/cr_relay_server/server/cr_RelayShell.h
@@ -61,7 +61,7 @@
   void Do(const ForwardRequest& aAction);
   void Do(const CancelForward& aAction);
   void Do(const HandOverRequest& aAction);
-  void Do(const CancelHandOver& aAction);
+  void Do(const CancelServerRequest& aAction);
   void Do(const RelayAnswer& aAction);
   void Do(const RefuseRequest& aAction);
   void Do(const AnswerPeer& aAction);
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -201,7 +201,7 @@
 }
 
 void
-RelayServer::Implementation::Do(const CancelHandOver& aAction)
+RelayServer::Implementation::Do(const CancelServerRequest& aAction)
 {
   if (Open* open = Find(aAction.m_call)) {
     HttpExchange exchange = open->m_handOver;
@@ -254,12 +254,12 @@
     "refuse",
     open->m_id,
     fmt::format("\"status\":{},\"reason\":\"{}\",\"at\":\"{}\","
-                "\"target\":\"{}\",\"held_ms\":{},\"retry_after_ms\":{},"
+                "\"target\":{},\"held_ms\":{},\"retry_after_ms\":{},"
                 "\"share\":{:.2f},\"tried\":\"{}\",\"generation\":{}",
                 aAction.m_status,
                 ToText(aAction.m_reason),
                 open->m_at,
-                EscapeJson(open->m_request->m_target),
+                QuoteJson(open->m_request->m_target),
                 ToMilliseconds(IoThreads::Now() - open->m_arrived),
                 ToMilliseconds(aAction.m_retryAfter.value_or(Duration::zero())),
                 aAction.m_share,
--- a/modules/cr_relay_server/tests/cr_RelayFleet.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.cpp
@@ -49,7 +49,7 @@
         announcement.m_isLeaving)) {
     return Failure(ErrorCode::Malformed, "no announcement");
   }
-  return ControlMessage(ServerAnnounced{ announcement });
+  return ControlMessage(BackendAnnounced{ announcement });
 }
 
 }
@@ -77,18 +77,10 @@
   RelayDialect dialect;
   dialect.m_readRoutes = ReadTestRoutes;
   dialect.m_readControl = ReadTestControl;
-  dialect.m_writeStoreCall = [](const StoreRequest& aRequest) {
-    HttpRequest request;
-    request.m_method = "POST";
-    request.m_target = kStorePath;
-    request.m_body = EncodeStoreRequest(aRequest);
-    return request;
-  };
+  dialect.m_writeStoreCall = WriteStoreCall;
   dialect.m_readStoreAnswer = [](const StoreRequest& /*aRequest*/,
-                                 const HttpResult& aResult) -> StoreAnswer {
-    const auto* response = std::get_if<HttpResponse>(&aResult);
-    return response != nullptr ? DecodeStoreAnswer(response->m_body)
-                               : StoreAnswer(StoreFailed{ "no answer" });
+                                 const HttpResult& aResult) {
+    return ReadStoreAnswer(aResult);
   };
   return dialect;
 }
--- a/modules/cr_transport/http/cr_StoreConnection.cpp
+++ b/modules/cr_transport/http/cr_StoreConnection.cpp
@@ -6,15 +6,6 @@
 
 namespace {
 
-HttpRequest
-ToHttp(const StoreRequest& aRequest)
-{
-  return { "POST",
-           std::string(kStorePath),
-           { { "Content-Type", "application/json" } },
-           EncodeStoreRequest(aRequest) };
-}
-
 struct ResultReader
 {
   StoreAnswer operator()(const HttpResponse& aResponse) const
@@ -32,6 +23,21 @@
 
 }
 
+HttpRequest
+WriteStoreCall(const StoreRequest& aRequest)
+{
+  return { "POST",
+           std::string(kStorePath),
+           { { "Content-Type", "application/json" } },
+           EncodeStoreRequest(aRequest) };
+}
+
+StoreAnswer
+ReadStoreAnswer(const HttpResult& aResult)
+{
+  return std::visit(ResultReader{}, aResult);
+}
+
 StoreConnection::StoreConnection(HttpClient& aClient,
                                  Endpoint aPlatform,
                                  Duration aTimeout)
@@ -46,19 +52,18 @@
                       std::function<void(StoreAnswer)> aCallback)
 {
   m_client.Send(m_platform,
-                ToHttp(aRequest),
+                WriteStoreCall(aRequest),
                 m_timeout,
                 [callback = std::move(aCallback)](const HttpResult& aResult) {
-                  callback(std::visit(ResultReader{}, aResult));
+                  callback(ReadStoreAnswer(aResult));
                 });
 }
 
 StoreAnswer
 StoreConnection::SendAndWait(const StoreRequest& aRequest)
 {
-  return std::visit(
-    ResultReader{},
-    m_client.SendAndWait(m_platform, ToHttp(aRequest), m_timeout));
+  return ReadStoreAnswer(
+    m_client.SendAndWait(m_platform, WriteStoreCall(aRequest), m_timeout));
 }
 
 }
--- a/modules/cr_transport/http/cr_StoreConnection.h
+++ b/modules/cr_transport/http/cr_StoreConnection.h
@@ -10,6 +10,15 @@
 /** Path at which the platform answers store requests. */
 inline constexpr std::string_view kStorePath = "/store";
 
+/** Writes a store request as the product's own platform takes it. Thread
+    safe. */
+HttpRequest
+WriteStoreCall(const StoreRequest& aRequest);
+
+/** Reads the platform's answer; any failure is StoreFailed. Thread safe. */
+StoreAnswer
+ReadStoreAnswer(const HttpResult& aResult);
+
 /** Carries store requests to the platform over HTTP. Thread safe. */
 class StoreConnection
 {
