A server's refusal costs no attempt; a closed gate tells no load

Besides, a gate that closed while requests ran told its load over a limit of one, twenty times too much, which pulled the share of all routes down.

Ruled out: letting a budget that runs out count as load.

--- a/modules/cr_admission/share/cr_OfferedLoad.cpp
+++ b/modules/cr_admission/share/cr_OfferedLoad.cpp
@@ -11,12 +11,6 @@
 /* Weight of one more measured time in the mean. */
 constexpr double kTimeGain = 0.05;
 
-double
-ToSeconds(Duration aDuration)
-{
-  return std::chrono::duration<double>(aDuration).count();
-}
-
 }
 
 void
--- a/modules/cr_core/time/cr_Time.h
+++ b/modules/cr_core/time/cr_Time.h
@@ -51,4 +51,11 @@
     .count();
 }
 
+/** Returns the duration in seconds. Thread safe. */
+constexpr double
+ToSeconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
 }
--- a/modules/cr_relay/flow/cr_RelayEntry.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntry.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-/* Hosts that one request is sent to at most, those included that did not take
-   it. */
-constexpr std::size_t kGreatestSends = 4;
+/* Times that one request is sent on at most, to hosts that did not take it
+   too. */
+constexpr std::size_t kGreatestSends = 6;
 /* Routes whose state is kept. */
 constexpr std::size_t kStateLimit = 8192;
 /* Part of its objective that a customer's request may wait for a slot: what is
@@ -297,7 +297,11 @@
       return target;
     }
   }
-  return aRouter.Choose(rank, aCall.m_tried, aNow);
+  auto target = aRouter.Choose(rank, aCall.m_tried, aNow);
+  // Servers that refuse some requests only may take this one the next time.
+  return !target && aCall.m_lastReason == Reason::ServerFailed
+           ? aRouter.Choose(rank, {}, aNow)
+           : target;
 }
 
 void
@@ -308,7 +312,7 @@
 {
   LearnLoad(aCall, aReport, aNow);
   ReportTarget(aCall, ToResult(aReport, aNow - aCall.m_sent), aNow);
-  aCall.m_reached += aReport.m_hasReached ? 1 : 0;
+  aCall.m_runs += aReport.m_outcome != Outcome::NotRun ? 1 : 0;
   aCall.m_lastReason = aReport.m_reason;
   const bool isAnswered = aReport.m_outcome == Outcome::Completed;
   if (isAnswered && !aReport.m_isServerError) {
@@ -317,16 +321,15 @@
     return;
   }
   aCall.m_hasErrorAnswer |= isAnswered;
-  aCall.m_mayHaveRun |= aReport.m_outcome != Outcome::NotRun;
   if (MayTryAgain(aCall, aReport, aNow)) {
     aActions.emplace_back(
       LogDecision{ "retry",
                    aCall.m_id,
                    fmt::format("\"reason\":\"{}\",\"outcome\":\"{}\","
-                               "\"reached\":{},\"path_load\":{:.2f}",
+                               "\"runs\":{},\"path_load\":{:.2f}",
                                ToText(aReport.m_reason),
                                ToText(aReport.m_outcome),
-                               aCall.m_reached,
+                               aCall.m_runs,
                                aReport.m_pathLoad) });
     TryNext(aCall, aNow, aActions);
     return;
@@ -349,9 +352,18 @@
     // A full gate: only work that has begun is worth another one's queue.
     return aCall.m_isBegun && aCall.m_tried.size() < 2;
   }
-  const bool mayRunAgain = aCall.m_route->m_idempotent || !aCall.m_mayHaveRun;
+  return MayRepeat(aCall, aReport, aNow);
+}
+
+/* After a backend server had the request. */
+bool
+RelayEntry::MayRepeat(const Call& aCall,
+                      const RelayReport& aReport,
+                      Instant aNow)
+{
+  const bool mayRunAgain = aCall.m_route->m_idempotent || aCall.m_runs == 0;
   return mayRunAgain && aReport.m_reason != Reason::DeadlineTooShort &&
-         aCall.m_reached < aCall.m_route->m_attempts &&
+         aCall.m_runs < aCall.m_route->m_attempts &&
          aReport.m_pathLoad < kRepeatLoad &&
          m_budget.Take(aCall.m_service, aNow);
 }
@@ -406,7 +418,7 @@
                         aCall.m_deadline <= aNow;
     const unsigned mayHaveRun = isLate ? kStatusTimeout : kStatusBadGateway;
     Refuse(aCall,
-           aCall.m_mayHaveRun ? mayHaveRun : kStatusUnavailable,
+           aCall.m_runs > 0 ? mayHaveRun : kStatusUnavailable,
            aCall.m_lastReason,
            aNow,
            aActions);
--- a/modules/cr_relay/flow/cr_RelayEntry.h
+++ b/modules/cr_relay/flow/cr_RelayEntry.h
@@ -68,9 +68,8 @@
     std::optional<RouteTarget> m_target;
     Instant m_sent;
     std::vector<HostName> m_tried;
-    /* Backend servers that the request has reached. */
-    std::uint32_t m_reached = 0;
-    bool m_mayHaveRun = false;
+    /* Backend servers that may have run the request. */
+    std::uint32_t m_runs = 0;
     /* The shell holds a backend server's answer that tells of a failure. */
     bool m_hasErrorAnswer = false;
     Reason m_lastReason = Reason::NoServer;
@@ -96,6 +95,7 @@
               Instant aNow,
               RelayActions& aActions);
   bool MayTryAgain(const Call& aCall, const RelayReport& aReport, Instant aNow);
+  bool MayRepeat(const Call& aCall, const RelayReport& aReport, Instant aNow);
   void LearnLoad(const Call& aCall, const RelayReport& aReport, Instant aNow);
   void ReportTarget(Call& aCall, const AttemptResult& aResult, Instant aNow);
   void EndUnserved(Call& aCall, Instant aNow, RelayActions& aActions);
--- a/modules/cr_relay/flow/cr_RelayGate.cpp
+++ b/modules/cr_relay/flow/cr_RelayGate.cpp
@@ -137,7 +137,8 @@
   const Call& call = found->second;
   const std::string route = call.m_header.m_route;
   const bool isAnswered = aEvent.m_verdict == ServerVerdict::Answered;
-  if (isAnswered || aEvent.m_verdict == ServerVerdict::AnsweredError) {
+  if (ReportOf(aEvent.m_verdict).m_outcome != Outcome::NotRun) {
+    // Also one that was cut off may have made its calls.
     m_shared.m_pattern.CountRun(route, aNow);
   }
   if (isAnswered) {
@@ -240,7 +241,10 @@
 double
 RelayGate::Load(Instant aNow) const
 {
-  return m_load.Load(std::max(m_queue.Limit(), 1U), m_queue.Waiting(), aNow);
+  // What still runs at a closed gate says nothing of room for more.
+  return m_queue.Limit() > 0
+           ? m_load.Load(m_queue.Limit(), m_queue.Waiting(), aNow)
+           : 0;
 }
 
 std::optional<Instant>
--- a/modules/cr_relay/flow/cr_RelayGate.h
+++ b/modules/cr_relay/flow/cr_RelayGate.h
@@ -61,7 +61,7 @@
   /** Returns the queue, for reports. */
   const SlotQueue& Queue() const { return m_queue; }
 
-  /** Returns the load of the gate. @see OfferedLoad */
+  /** Returns the load of the gate; 0 when it is closed. @see OfferedLoad */
   double Load(Instant aNow) const;
 
   /** Returns the number of requests that wait or run. */
--- a/modules/cr_relay/tests/cr_RelayGateTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayGateTest.cpp
@@ -98,6 +98,68 @@
   EXPECT_EQ(node.Take<CancelServerRequest>().size(), 1U);
 }
 
+/* As on days with scale_in: what runs when a server leaves ends under a limit
+   of none. */
+TEST(RelayGate, AClosedGateTellsNoLoad)
+{
+  Gate node(25);
+  std::vector<CallId> running;
+  for (int call = 0; call < 20; ++call) {
+    running.push_back(node.PeerRequest(true));
+  }
+  node.m_now += Milliseconds(50);
+  node.Feed(HandOverEnded{ running.at(0), ServerVerdict::Answered });
+  for (int call = 0; call < 20; ++call) {
+    node.PeerRequest(true);
+  }
+  node.Take<AnswerPeer>();
+  node.Feed(HandOverEnded{ running.at(1), ServerVerdict::Answered });
+  EXPECT_GT(node.OneReport().m_gateLoad, 0);
+  node.Announce(25, 2, true);
+  node.Take<AnswerPeer>();
+  node.Feed(HandOverEnded{ running.at(2), ServerVerdict::Answered });
+  EXPECT_EQ(node.OneReport().m_gateLoad, 0);
+}
+
+/* As on the day scale-2 with one pricing server left: requests that make calls
+   run out of time, and those of the other route make none. */
+TEST(RelayGate, CallsOfRequestsThatRunOutOfTimeAreNotLaidToOthers)
+{
+  Gate node(200);
+  node.AdoptRoutes(2,
+                   { RelayTestNode::Route("orders", true),
+                     RelayTestNode::Route("prices", true) });
+  node.AdoptNodes("prices", { "host-2", "host-3" });
+  RelayReport busy;
+  busy.m_outcome = Outcome::Completed;
+  busy.m_hasReached = true;
+  busy.m_isCalledRoute = true;
+  busy.m_pathLoad = 3;
+  Random random(7);
+  const auto run = [&](const std::string& aRoute, ServerVerdict aVerdict) {
+    const CallId call = node.PeerRequest(true, Seconds(1), aRoute);
+    node.Feed(HandOverEnded{ call, aVerdict });
+    return node.OneReport();
+  };
+  for (int window = 0; window < 60; ++window) {
+    node.m_now += Milliseconds(250);
+    const auto cheap = random.Below(20);
+    const auto dear = random.Below(20);
+    for (std::uint64_t count = 0; count < cheap; ++count) {
+      run("route-cheap", ServerVerdict::Answered);
+    }
+    for (std::uint64_t count = 0; count < dear; ++count) {
+      for (int called = 0; called < 4; ++called) {
+        node.Feed(ForwardAnswered{ node.Request("/prices/1"), busy });
+      }
+      run("route-dear",
+          count % 4 == 0 ? ServerVerdict::Answered : ServerVerdict::TimedOut);
+    }
+  }
+  EXPECT_GT(run("route-dear", ServerVerdict::Answered).m_pathLoad, 2);
+  EXPECT_LT(run("route-cheap", ServerVerdict::Answered).m_pathLoad, 1);
+}
+
 TEST(RelayGate, AServerThatNobodyFindsIsAbsentUntilItIsHeardOf)
 {
   Gate node(10);
