Urgent requests are let in up to a greater load

Cause: the load at the busiest service swings about its target while shares settle, and preis and bestellung were refused at 1.15 and 1.25 although the least urgent requests still had room to give. Targets 1.3 and 1.4 for them.

--- a/modules/cr_relay/flow/cr_RelayEntry.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntry.cpp
@@ -21,7 +21,7 @@
 constexpr int kBegunWaitDivisor = 2;
 /* Load that a route's share aims at, by its priority; the greatest priority is
    refused last. Beyond the last one all are alike. */
-constexpr std::array<double, 3> kShareTargets = { 1.25, 1.15, 0.95 };
+constexpr std::array<double, 3> kShareTargets = { 1.4, 1.3, 0.95 };
 /* From this load on a gate's callers share its work over the whole region. */
 constexpr double kBusyLoad = 0.8;
 /* A host that could not be connected to is tried again after this time, while
