A bound on requests in progress while the load is not known yet

The share fell by a third a second only, as every step has to wait for the effect of the one before.

InFlightBound: each route of a node begins with 8 requests in progress, doubles while the load told is within the target, and falls with the load above it. It stays at three times what is in progress while the load is in order, so the share governs then.

--- a/modules/cr_relay/event/cr_RelayAction.h
+++ b/modules/cr_relay/event/cr_RelayAction.h
@@ -58,6 +58,8 @@
   /** For the log: share of the route's requests that was let in, and the host
       that was tried last; empty when none was. */
   double m_share = 1;
+  /** Bound of the requests in progress that the route had; 0 for none. */
+  double m_bound = 0;
   HostName m_host{};
 };
 
--- a/modules/cr_relay/flow/cr_RelayEntry.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntry.cpp
@@ -124,9 +124,13 @@
   call.m_isBegun = m_shared.m_calledRoutes.contains(call.m_route->m_name);
   if (call.m_isBegun) {
     m_shared.m_pattern.CountCall(call.m_route->m_name, aNow);
-  } else if (m_shared.m_settings.m_isGoverned && !IsLetIn(aEvent, call, aNow)) {
-    Refuse(call, kStatusUnavailable, Reason::Overloaded, aNow, aActions);
-    return;
+  } else if (m_shared.m_settings.m_isGoverned) {
+    if (!IsLetIn(aEvent, call, aNow)) {
+      Refuse(call, kStatusUnavailable, Reason::Overloaded, aNow, aActions);
+      return;
+    }
+    call.m_isBounded = true;
+    m_states[call.m_route->m_name].m_bound.Begin();
   }
   m_budget.CountRequest(call.m_service, aNow);
   Call& stored = m_calls.emplace(call.m_id, std::move(call)).first->second;
@@ -149,7 +153,7 @@
     ReportTarget(call, result, aNow);
     aActions.emplace_back(CancelForward{ call.m_id });
   }
-  m_calls.erase(found);
+  End(call);
 }
 
 void
@@ -210,6 +214,13 @@
   return state != m_states.end() ? state->second.m_share.Share() : 1;
 }
 
+double
+RelayEntry::BoundOf(const std::string& aRoute) const
+{
+  const auto state = m_states.find(aRoute);
+  return state != m_states.end() ? state->second.m_bound.Bound() : 0;
+}
+
 //==============================================================================
 bool
 RelayEntry::IsLetIn(const RequestArrived& aEvent,
@@ -224,7 +235,18 @@
   state.m_share.SetTarget(TargetOf(*aCall.m_route));
   const bool isReturning =
     aEvent.m_patience && IsReturning(state, *aEvent.m_patience);
-  return state.m_share.Admit({ isReturning, m_random.Unit() }, aNow);
+  return state.m_share.Admit({ isReturning, m_random.Unit() }, aNow) &&
+         state.m_bound.HasRoom();
+}
+
+void
+RelayEntry::End(const Call& aCall)
+{
+  const auto state = m_states.find(aCall.m_route->m_name);
+  if (aCall.m_isBounded && state != m_states.end()) {
+    state->second.m_bound.End();
+  }
+  m_calls.erase(aCall.m_id);
 }
 
 /* Customers of a route wait equally long; one that was refused has less time
@@ -321,7 +343,7 @@
         aCall.m_route->m_name, aNow - aCall.m_arrived, aNow);
     }
     aActions.emplace_back(RelayAnswer{ aCall.m_id });
-    m_calls.erase(aCall.m_id);
+    End(aCall);
     return;
   }
   aCall.m_hasErrorAnswer |= isAnswered;
@@ -386,6 +408,11 @@
   } else {
     m_shared.m_calledRoutes.erase(name);
   }
+  const auto state = m_states.find(name);
+  if (aCall.m_isBounded && state != m_states.end()) {
+    state->second.m_bound.Learn(
+      aReport.m_pathLoad, TargetOf(*aCall.m_route), aNow);
+  }
   if (aReport.m_pathLoad <= 0) {
     return;
   }
@@ -393,7 +420,6 @@
     m_shared.m_pathLoads[name].Learn(aReport.m_pathLoad, aNow);
     return;
   }
-  const auto state = m_states.find(name);
   if (state != m_states.end()) {
     state->second.m_share.Learn(
       aReport.m_pathLoad, aNow - aCall.m_arrived, aNow);
@@ -427,7 +453,7 @@
            aNow,
            aActions);
   }
-  m_calls.erase(aCall.m_id);
+  End(aCall);
 }
 
 /* Only who was told that the request was not run is told when to return. */
@@ -447,6 +473,7 @@
   }
   if (aCall.m_route != nullptr) {
     refusal.m_share = ShareOf(aCall.m_route->m_name);
+    refusal.m_bound = BoundOf(aCall.m_route->m_name);
   }
   if (!aCall.m_tried.empty()) {
     refusal.m_host = aCall.m_tried.back();
--- a/modules/cr_relay/flow/cr_RelayEntry.h
+++ b/modules/cr_relay/flow/cr_RelayEntry.h
@@ -54,6 +54,10 @@
   /** Returns the share of a route's requests that is let in. */
   double ShareOf(const std::string& aRoute) const;
 
+  /** Returns the bound of a route's requests in progress; 0 when none is set.
+   */
+  double BoundOf(const std::string& aRoute) const;
+
 private:
   struct Call
   {
@@ -65,6 +69,8 @@
     Instant m_arrived;
     Instant m_deadline;
     bool m_isBegun = false;
+    /* Counted by the bound of its route. */
+    bool m_isBounded = false;
     std::optional<RouteTarget> m_target;
     Instant m_sent;
     std::vector<HostName> m_tried;
@@ -79,6 +85,7 @@
   struct RouteState
   {
     AdmittedShare m_share{ 1 };
+    InFlightBound m_bound;
     /* The patience that most requests come with, and how sure that is. */
     Duration m_usualPatience = Duration::zero();
     int m_usualCount = 0;
@@ -89,6 +96,7 @@
   std::optional<RouteTarget> Choose(const Call& aCall,
                                     Router& aRouter,
                                     Instant aNow) const;
+  void End(const Call& aCall);
   void TryNext(Call& aCall, Instant aNow, RelayActions& aActions);
   void Settle(Call& aCall,
               const RelayReport& aReport,
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -253,18 +253,20 @@
   m_log.Write(
     "refuse",
     open->m_id,
-    fmt::format("\"status\":{},\"reason\":\"{}\",\"at\":\"{}\","
-                "\"target\":{},\"held_ms\":{},\"retry_after_ms\":{},"
-                "\"share\":{:.2f},\"tried\":\"{}\",\"generation\":{}",
-                aAction.m_status,
-                ToText(aAction.m_reason),
-                open->m_at,
-                QuoteJson(open->m_request->m_target),
-                ToMilliseconds(IoThreads::Now() - open->m_arrived),
-                ToMilliseconds(aAction.m_retryAfter.value_or(Duration::zero())),
-                aAction.m_share,
-                aAction.m_host,
-                m_documentGeneration));
+    fmt::format(
+      "\"status\":{},\"reason\":\"{}\",\"at\":\"{}\","
+      "\"target\":{},\"held_ms\":{},\"retry_after_ms\":{},"
+      "\"share\":{:.2f},\"bound\":{:.0f},\"tried\":\"{}\",\"generation\":{}",
+      aAction.m_status,
+      ToText(aAction.m_reason),
+      open->m_at,
+      QuoteJson(open->m_request->m_target),
+      ToMilliseconds(IoThreads::Now() - open->m_arrived),
+      ToMilliseconds(aAction.m_retryAfter.value_or(Duration::zero())),
+      aAction.m_share,
+      aAction.m_bound,
+      aAction.m_host,
+      m_documentGeneration));
   HttpResponse response = MakeTextResponse(
     aAction.m_status, std::string(ToText(aAction.m_reason)) + "\n");
   response.m_headers.push_back({ m_dialect.m_headers.m_requestId, open->m_id });
