A follower of a table rests while changes follow one another

While a fleet starts each node writes its row, and each such change ended the pending feed of all others at once: calls grow with the square of the fleet. From the second quick change in a row on the follower rests 100 to 800 ms before its next call, so that one call brings several changes; a change that stands alone is taken at once, as before.

--- a/modules/cr_store/follow/cr_StorePace.cpp
+++ b/modules/cr_store/follow/cr_StorePace.cpp
@@ -24,10 +24,11 @@
 }
 
 void
-StorePace::PutOff(Duration aLongest, Instant aNow)
+StorePace::PutOff(Duration aLeast, Duration aSpread, Instant aNow)
 {
-  m_notBefore = aNow + Duration(static_cast<Duration::rep>(m_random.Below(
-                         static_cast<std::uint64_t>(aLongest.count()))));
+  m_notBefore = aNow + aLeast +
+                Duration(static_cast<Duration::rep>(
+                  m_random.Below(static_cast<std::uint64_t>(aSpread.count()))));
 }
 
 }
--- a/modules/cr_store/follow/cr_StorePace.h
+++ b/modules/cr_store/follow/cr_StorePace.h
@@ -25,8 +25,8 @@
   /** A call was answered; the next one may follow at once. */
   void NoteSuccess() { m_failures = 0; }
 
-  /** Puts the next call off by a random part of the time. */
-  void PutOff(Duration aLongest, Instant aNow);
+  /** Puts the next call off by aLeast and a random part of aSpread. */
+  void PutOff(Duration aLeast, Duration aSpread, Instant aNow);
 
   //==========================================================================
   /** Returns the time from which the next call may be made. */
--- a/modules/cr_store/follow/cr_TableFollower.cpp
+++ b/modules/cr_store/follow/cr_TableFollower.cpp
@@ -1,5 +1,6 @@
 #include "cr_store/follow/cr_TableFollower.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cr {
@@ -10,6 +11,12 @@
 /* Over this time the nodes of a fleet spread their reads after the platform
    forgot the changes for all of them at once. */
 constexpr Duration kReadSpread = Milliseconds(300);
+/* A change that comes later after its call stands alone. */
+constexpr Duration kQuickChange = Seconds(1);
+/* Rest after the second quick change in a row, doubled with each further one
+   up to the longest; a configuration may take seconds to be in force. */
+constexpr Duration kFirstRest = Milliseconds(100);
+constexpr int kGreatestRestDoublings = 2;
 
 }
 
@@ -26,6 +33,7 @@
     return std::nullopt;
   }
   m_isCalling = true;
+  m_calledAt = aNow;
   if (m_isReading) {
     return ScanRequest{ m_table, m_readAfter, kPageRows, {} };
   }
@@ -43,11 +51,14 @@
   if (const auto* changes = std::get_if<RowChanges>(&aAnswer)) {
     m_pace.NoteSuccess();
     m_version = changes->m_version;
+    if (!changes->m_changes.empty()) {
+      RestWhileChangesGather(aNow);
+    }
     return { changes->m_changes, false };
   }
   if (std::holds_alternative<HistoryLost>(aAnswer)) {
     m_pace.NoteSuccess();
-    m_pace.PutOff(kReadSpread, aNow);
+    m_pace.PutOff(Duration::zero(), kReadSpread, aNow);
   } else {
     m_pace.NoteFailure(aNow);
   }
@@ -66,6 +77,17 @@
   return m_isCalling ? std::nullopt : std::optional(m_pace.NotBefore());
 }
 
+void
+TableFollower::RestWhileChangesGather(Instant aNow)
+{
+  m_quickChanges = aNow - m_calledAt < kQuickChange ? m_quickChanges + 1 : 0;
+  if (m_quickChanges >= 2) {
+    const int doublings = std::min(m_quickChanges - 2, kGreatestRestDoublings);
+    const Duration rest = kFirstRest * (1 << doublings);
+    m_pace.PutOff(rest, rest, aNow);
+  }
+}
+
 TableNews
 TableFollower::TakePage(const RowPage& aPage)
 {
--- a/modules/cr_store/follow/cr_TableFollower.h
+++ b/modules/cr_store/follow/cr_TableFollower.h
@@ -19,7 +19,9 @@
 
 /** Keeps a copy of a table up to date: reads it whole once, then waits for
     changes, one call at a time; reads it again when the platform has forgotten
-    the changes. Not thread safe. */
+    the changes. Where one change follows the other, as while a fleet starts, it
+    rests between its calls, so that one call brings several. Not thread
+    safe. */
 class TableFollower
 {
 public:
@@ -49,10 +51,14 @@
 
 private:
   TableNews TakePage(const RowPage& aPage);
+  void RestWhileChangesGather(Instant aNow);
 
   std::string m_table;
   StorePace m_pace;
   bool m_isCalling = false;
+  Instant m_calledAt = Instant::min();
+  /* Calls in a row that brought changes after a short time. */
+  int m_quickChanges = 0;
   bool m_isLoaded = false;
   /* The table is being read whole. */
   bool m_isReading = true;
--- a/modules/cr_store/tests/cr_TableFollowerTest.cpp
+++ b/modules/cr_store/tests/cr_TableFollowerTest.cpp
@@ -127,6 +127,48 @@
   EXPECT_FALSE(follower.IsInTouch());
 }
 
+/* As when the 71 nodes of the larger deployment start, one each 50 ms. */
+TEST(TableFollower, ChangesThatFollowOneAnotherShareCalls)
+{
+  InProcessPlatform platform;
+  TableFollower follower(kTable, 3);
+  Copy copy;
+  Instant now{ Seconds(100) };
+  copy.Take(follower.Take(platform.Execute(*follower.NextCall(now)), now));
+  std::optional<StoreRequest> watch;
+  int calls = 0;
+  constexpr int nodes = 71;
+  const auto step = [&](bool aHasChange) {
+    now += Milliseconds(50);
+    if (!watch) {
+      watch = follower.NextCall(now);
+      calls += watch ? 1 : 0;
+    }
+    const auto answer = watch ? platform.Execute(*watch) : StoreAnswer{};
+    const auto* changes = std::get_if<RowChanges>(&answer);
+    if (watch && (aHasChange || !changes->m_changes.empty())) {
+      copy.Take(follower.Take(answer, now));
+      watch.reset();
+    }
+  };
+  for (int node = 0; node < nodes; ++node) {
+    Write(platform, std::to_string(node), "up");
+    step(true);
+  }
+  for (int wait = 0; wait < 20; ++wait) {
+    step(false);
+  }
+  EXPECT_EQ(copy.m_rows.size(), static_cast<std::size_t>(nodes));
+  EXPECT_LT(calls, 15);
+  // A change that stands alone is waited for and taken at once.
+  now += Seconds(5);
+  Write(platform, "alone", "up");
+  ASSERT_TRUE(watch);
+  copy.Take(follower.Take(platform.Execute(*watch), now));
+  EXPECT_TRUE(copy.m_rows.contains("alone"));
+  EXPECT_LE(follower.NextDue().value(), now);
+}
+
 TEST(TableFollower, OneCallIsUnderWayAtATime)
 {
   TableFollower follower(kTable, 1);
