Requests stay in their data centre while it has room

A request left its data centre when the host's load was above 0.8, though a gate below 0.95 still takes it at once; and when the host's mean latency was twice the usual, which had come to be the latency of the quickest tenth: the mean of times that spread by a half passes that limit by chance alone.

The load limit is 0.95 now; the usual latency falls a fifth as quickly and rises two and a half times as quickly, which is nearer to the mean of a host in health.

--- a/modules/cr_relay/flow/cr_RelayEntry.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntry.cpp
@@ -23,7 +23,7 @@
    refused last. Beyond the last one all are alike. */
 constexpr std::array<double, 3> kShareTargets = { 1.4, 1.3, 0.95 };
 /* From this load on a gate's callers share its work over the whole region. */
-constexpr double kBusyLoad = 0.8;
+constexpr double kBusyLoad = 0.95;
 /* A host that could not be connected to is tried again after this time, while
    there are others. */
 constexpr Duration kUnreachedPause = Seconds(1);
--- a/modules/cr_routing/router/cr_Router.cpp
+++ b/modules/cr_routing/router/cr_Router.cpp
@@ -12,8 +12,8 @@
 /* How much slower a near host may be before a farther one is taken. */
 constexpr Duration::rep kSpillRatio = 2;
 constexpr Duration kSpillSlack = Milliseconds(2);
-constexpr double kUsualLatencyFall = 0.1;
-constexpr double kUsualLatencyRise = 0.002;
+constexpr double kUsualLatencyFall = 0.02;
+constexpr double kUsualLatencyRise = 0.005;
 /* An outlier fails this much more often than the other hosts do. */
 constexpr double kOutlierRatio = 2;
 
