Headers between nodes are HTTP parameters

They are written as HTTP parameters now and read with Beast's param_list; unknown parameters are left out, so that nodes of two versions understand each other.

--- a/modules/cr_relay_server/dialect/cr_PeerWire.cpp
+++ b/modules/cr_relay_server/dialect/cr_PeerWire.cpp
@@ -1,113 +1,190 @@
 #include "cr_relay_server/dialect/cr_PeerWire.h"
 
+#include <charconv>
+#include <concepts>
+
+#include <boost/beast/http/rfc7230.hpp>
+#include <fmt/format.h>
+
+#include "cr_relay_server/report/cr_RelayLog.h"
+
 namespace cr {
 
 namespace {
 
-constexpr Json::ArrayIndex kHeaderSize = 7;
-constexpr Json::ArrayIndex kReportSize = 8;
 /* Loads travel in thousandths. */
 constexpr double kLoadScale = 1000;
 
-Json::Int64
+std::int64_t
 ToThousandths(double aLoad)
 {
-  return static_cast<Json::Int64>(aLoad * kLoadScale);
+  return static_cast<std::int64_t>(aLoad * kLoadScale);
 }
 
-Expected<Json::Value>
-ParseList(std::string_view aText, Json::ArrayIndex aSize)
+/* Reads parameters one by one, and keeps whether all were well formed. */
+class ParameterReader
 {
-  auto value = ParseJson(aText);
-  if (value && (!value->isArray() || value->size() != aSize)) {
-    return Failure(ErrorCode::Malformed, "not a list of the right length");
+public:
+  explicit ParameterReader(std::string_view aText)
+    : m_parameters({ aText.data(), aText.size() })
+  {
+  }
+
+  /* Calls the function with the name and the value of each parameter. */
+  template<typename Function>
+  void ForEach(Function aFunction)
+  {
+    for (const auto& [name, value] : m_parameters) {
+      aFunction(std::string_view(name.data(), name.size()),
+                std::string_view(value.data(), value.size()));
+    }
+  }
+
+  template<std::integral Number>
+  void Read(std::string_view aValue, Number& aNumber)
+  {
+    ++m_count;
+    const auto [end, error] =
+      std::from_chars(aValue.data(), aValue.data() + aValue.size(), aNumber);
+    m_isWellFormed &=
+      error == std::errc() && end == aValue.data() + aValue.size();
+  }
+
+  void Read(std::string_view aValue, std::string& aText)
+  {
+    ++m_count;
+    aText = aValue;
+  }
+
+  void Read(std::string_view aValue, bool& aFlag)
+  {
+    ++m_count;
+    aFlag = aValue == "1";
+    m_isWellFormed &= aFlag || aValue == "0";
   }
-  return value;
-}
+
+  void Read(std::string_view aValue, Duration& aDuration)
+  {
+    Duration::rep microseconds = 0;
+    Read(aValue, microseconds);
+    aDuration = Duration(microseconds);
+  }
+
+  void Read(std::string_view aValue, double& aLoad)
+  {
+    std::int64_t thousandths = 0;
+    Read(aValue, thousandths);
+    aLoad = static_cast<double>(thousandths) / kLoadScale;
+  }
+
+  template<typename Kind>
+  void Read(const std::optional<Kind>& aRead, Kind& aKind)
+  {
+    ++m_count;
+    m_isWellFormed &= aRead.has_value();
+    aKind = aRead.value_or(aKind);
+  }
+
+  /* Returns whether as many parameters as wanted were read, all well formed; no
+     sender writes one twice. */
+  bool IsComplete(int aWanted) const
+  {
+    return m_isWellFormed && m_count >= aWanted;
+  }
+
+private:
+  boost::beast::http::param_list m_parameters;
+  int m_count = 0;
+  bool m_isWellFormed = true;
+};
 
 }
 
 std::string
 EncodeRelayHeader(const RelayHeader& aHeader)
 {
-  Json::Value value(Json::arrayValue);
-  value.append(aHeader.m_service);
-  value.append(aHeader.m_route);
-  value.append(Json::Int64(aHeader.m_remaining.count()));
-  value.append(Json::Int64(aHeader.m_longestWait.count()));
-  value.append(aHeader.m_isBegun ? 1 : 0);
-  value.append(aHeader.m_isIdempotent ? 1 : 0);
-  value.append(Json::UInt64(aHeader.m_generation));
-  return WriteJson(value);
+  return fmt::format(";s={};r={};t={};w={};b={:d};i={:d};g={}",
+                     QuoteJson(aHeader.m_service),
+                     QuoteJson(aHeader.m_route),
+                     aHeader.m_remaining.count(),
+                     aHeader.m_longestWait.count(),
+                     aHeader.m_isBegun,
+                     aHeader.m_isIdempotent,
+                     aHeader.m_generation);
 }
 
 Expected<RelayHeader>
 DecodeRelayHeader(std::string_view aText)
 {
-  const auto value = ParseList(aText, kHeaderSize);
-  if (!value) {
-    return tl::unexpected(value.error());
-  }
-  try {
-    Json::ArrayIndex index = 0;
-    const auto next = [&]() -> const Json::Value& { return (*value)[index++]; };
-    RelayHeader header;
-    header.m_service = next().asString();
-    header.m_route = next().asString();
-    header.m_remaining = Duration(next().asInt64());
-    header.m_longestWait = Duration(next().asInt64());
-    header.m_isBegun = next().asInt() != 0;
-    header.m_isIdempotent = next().asInt() != 0;
-    header.m_generation = next().asUInt64();
-    return header;
-  } catch (const Json::Exception& exception) {
-    return Failure(ErrorCode::Malformed, exception.what());
+  constexpr int parameters = 7;
+  RelayHeader header;
+  ParameterReader reader(aText);
+  reader.ForEach([&](std::string_view aName, std::string_view aValue) {
+    if (aName == "s") {
+      reader.Read(aValue, header.m_service);
+    } else if (aName == "r") {
+      reader.Read(aValue, header.m_route);
+    } else if (aName == "t") {
+      reader.Read(aValue, header.m_remaining);
+    } else if (aName == "w") {
+      reader.Read(aValue, header.m_longestWait);
+    } else if (aName == "b") {
+      reader.Read(aValue, header.m_isBegun);
+    } else if (aName == "i") {
+      reader.Read(aValue, header.m_isIdempotent);
+    } else if (aName == "g") {
+      reader.Read(aValue, header.m_generation);
+    }
+  });
+  if (!reader.IsComplete(parameters)) {
+    return Failure(ErrorCode::Malformed, "no whole relay header");
   }
+  return header;
 }
 
 std::string
 EncodeRelayReport(const RelayReport& aReport)
 {
-  Json::Value value(Json::arrayValue);
-  value.append(std::string(ToText(aReport.m_outcome)));
-  value.append(std::string(ToText(aReport.m_reason)));
-  value.append(aReport.m_isServerError ? 1 : 0);
-  value.append(aReport.m_hasReached ? 1 : 0);
-  value.append(aReport.m_isCalledRoute ? 1 : 0);
-  value.append(ToThousandths(aReport.m_gateLoad));
-  value.append(ToThousandths(aReport.m_pathLoad));
-  value.append(Json::UInt64(aReport.m_generation));
-  return WriteJson(value);
+  return fmt::format(";o={};y={};e={:d};h={:d};c={:d};l={};p={};g={}",
+                     ToText(aReport.m_outcome),
+                     ToText(aReport.m_reason),
+                     aReport.m_isServerError,
+                     aReport.m_hasReached,
+                     aReport.m_isCalledRoute,
+                     ToThousandths(aReport.m_gateLoad),
+                     ToThousandths(aReport.m_pathLoad),
+                     aReport.m_generation);
 }
 
 Expected<RelayReport>
 DecodeRelayReport(std::string_view aText)
 {
-  const auto value = ParseList(aText, kReportSize);
-  if (!value) {
-    return tl::unexpected(value.error());
-  }
-  try {
-    Json::ArrayIndex index = 0;
-    const auto next = [&]() -> const Json::Value& { return (*value)[index++]; };
-    const auto outcome = ParseOutcome(next().asString());
-    const auto reason = ParseReason(next().asString());
-    if (!outcome || !reason) {
-      return Failure(ErrorCode::Malformed, "no such outcome or reason");
+  constexpr int parameters = 8;
+  RelayReport report;
+  ParameterReader reader(aText);
+  reader.ForEach([&](std::string_view aName, std::string_view aValue) {
+    if (aName == "o") {
+      reader.Read(ParseOutcome(aValue), report.m_outcome);
+    } else if (aName == "y") {
+      reader.Read(ParseReason(aValue), report.m_reason);
+    } else if (aName == "e") {
+      reader.Read(aValue, report.m_isServerError);
+    } else if (aName == "h") {
+      reader.Read(aValue, report.m_hasReached);
+    } else if (aName == "c") {
+      reader.Read(aValue, report.m_isCalledRoute);
+    } else if (aName == "l") {
+      reader.Read(aValue, report.m_gateLoad);
+    } else if (aName == "p") {
+      reader.Read(aValue, report.m_pathLoad);
+    } else if (aName == "g") {
+      reader.Read(aValue, report.m_generation);
     }
-    RelayReport report;
-    report.m_outcome = *outcome;
-    report.m_reason = *reason;
-    report.m_isServerError = next().asInt() != 0;
-    report.m_hasReached = next().asInt() != 0;
-    report.m_isCalledRoute = next().asInt() != 0;
-    report.m_gateLoad = static_cast<double>(next().asInt64()) / kLoadScale;
-    report.m_pathLoad = static_cast<double>(next().asInt64()) / kLoadScale;
-    report.m_generation = next().asUInt64();
-    return report;
-  } catch (const Json::Exception& exception) {
-    return Failure(ErrorCode::Malformed, exception.what());
+  });
+  if (!reader.IsComplete(parameters)) {
+    return Failure(ErrorCode::Malformed, "no whole report");
   }
+  return report;
 }
 
 }
--- a/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
@@ -41,7 +41,10 @@
                             "[]",
                             "[1,2,3,4,5,6,7,8]",
                             "null",
-                            R"(["a","b","c",1,0,0,1])" }) {
+                            ";s=a;r=b;t=x;w=1;b=0;i=0;g=1",
+                            ";s=a;r=b;t=1;w=1;b=0;i=7;g=1",
+                            ";o=no;y=none;e=0;h=0;c=0;l=1;p=1;g=1",
+                            ";s=\"a" }) {
     EXPECT_FALSE(DecodeRelayHeader(text)) << text;
     EXPECT_FALSE(DecodeRelayReport(text)) << text;
   }
