A host without a server writes no row

Cause: at a start of a fleet each node wrote a row that says that it has no server, and woke the feeds of all others, before the row that matters. A row that says nothing is now written only where an older one says something else.

--- a/modules/cr_relay/flow/cr_RelayControl.cpp
+++ b/modules/cr_relay/flow/cr_RelayControl.cpp
@@ -338,7 +338,9 @@
 RelayControl::IsOwnRowTrue() const
 {
   const NodeRow* row = m_shared.m_directory.Find(m_ownRow.m_host);
-  return row != nullptr && *row == m_ownRow;
+  // A host without a row offers nothing, as a host without a server does.
+  return row != nullptr ? *row == m_ownRow
+                        : m_ownRow.m_state == ServerState::Absent;
 }
 
 }
--- a/modules/cr_relay/tests/cr_RelayControlTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayControlTest.cpp
@@ -60,6 +60,26 @@
   EXPECT_EQ(node.OwnRow()->m_state, ServerState::Leaving);
 }
 
+/* When a fleet starts, each row that says nothing would wake all others. */
+TEST(RelayControl, AHostWithoutAServerWritesARowOnlyToCorrectOne)
+{
+  Control node;
+  node.Answer();
+  node.Wait(Milliseconds(100));
+  node.Answer();
+  EXPECT_FALSE(node.OwnRow());
+  EXPECT_GT(node.m_decisions.NextWakeup(), node.m_now);
+  node.m_platform.Execute(TransactRequest{
+    {},
+    { { { std::string(kNodeTable), "host-1" },
+        EncodeNodeRow(RelayTestNode::ReadyRow("host-1", "orders")) } } });
+  node.Answer();
+  node.Wait(Milliseconds(100));
+  node.Answer();
+  ASSERT_TRUE(node.OwnRow());
+  EXPECT_EQ(node.OwnRow()->m_state, ServerState::Absent);
+}
+
 TEST(RelayControl, InQuietNothingIsWritten)
 {
   Control node;
