--- a/modules/cr_admission/tests/cr_ShareTest.cpp
+++ b/modules/cr_admission/tests/cr_ShareTest.cpp
@@ -1,10 +1,8 @@
 #include <gtest/gtest.h>
 
-#include <functional>
-#include <map>
-
 #include <cmath>
 #include <deque>
+#include <functional>
 #include <map>
 
 #include "cr_admission/cr_admission.h"
