--- a/modules/cr_admission/tests/cr_InFlightBoundTest.cpp
+++ b/modules/cr_admission/tests/cr_InFlightBoundTest.cpp
@@ -75,7 +75,9 @@
     double due = 0;
     while (m_now < end) {
       m_now += Milliseconds(1);
-      for (due += perStep; due >= 1; due -= 1) {
+      due += perStep;
+      while (due >= 1) {
+        due -= 1;
         Arrive();
       }
       EndCalls();
--- a/modules/cr_relay/tests/cr_RelayGateTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayGateTest.cpp
@@ -103,21 +103,23 @@
 TEST(RelayGate, AClosedGateTellsNoLoad)
 {
   Gate node(25);
-  std::vector<CallId> running;
-  for (int call = 0; call < 20; ++call) {
-    running.push_back(node.PeerRequest(true));
+  const CallId first = node.PeerRequest(true);
+  const CallId second = node.PeerRequest(true);
+  const CallId third = node.PeerRequest(true);
+  for (int call = 3; call < 20; ++call) {
+    node.PeerRequest(true);
   }
   node.m_now += Milliseconds(50);
-  node.Feed(HandOverEnded{ running.at(0), ServerVerdict::Answered });
+  node.Feed(HandOverEnded{ first, ServerVerdict::Answered });
   for (int call = 0; call < 20; ++call) {
     node.PeerRequest(true);
   }
   node.Take<AnswerPeer>();
-  node.Feed(HandOverEnded{ running.at(1), ServerVerdict::Answered });
+  node.Feed(HandOverEnded{ second, ServerVerdict::Answered });
   EXPECT_GT(node.OneReport().m_gateLoad, 0);
   node.Announce(25, 2, true);
   node.Take<AnswerPeer>();
-  node.Feed(HandOverEnded{ running.at(2), ServerVerdict::Answered });
+  node.Feed(HandOverEnded{ third, ServerVerdict::Answered });
   EXPECT_EQ(node.OneReport().m_gateLoad, 0);
 }
 
