Whole numbers are read, and durations scaled, by one function each

Cause: read once more, the relay had written again what other modules have: a whole number out of a whole text stood in the relay's patience, its headers and the operator's version beside the call headers, the endpoint and the inspect command; a duration times a factor stood in the retry time and the store's pace beside the jitter of two flows, an ejection and a back-off. OfferedLoad loses two functions that nobody called.

Ruled out: the places that take a number with text behind it (a server's load, two experiments' options), as they would begin to refuse it.

--- a/benchmarks/corianderrack-load/cr_Customers.cpp
+++ b/benchmarks/corianderrack-load/cr_Customers.cpp
@@ -152,12 +152,9 @@
   const std::uint32_t storm = m_stormTries;
   const std::uint32_t tries =
     storm > 0 ? storm : m_scenario.m_customers.m_tries;
-  const Duration backOff =
-    storm > 0
-      ? Milliseconds(1)
-      : Duration(static_cast<Duration::rep>(
-          2 * aRequest->m_random.Unit() *
-          static_cast<double>(m_scenario.m_customers.m_backOff.count())));
+  const Duration backOff = storm > 0 ? Milliseconds(1)
+                                     : Scale(m_scenario.m_customers.m_backOff,
+                                             2 * aRequest->m_random.Unit());
   const bool again = end != RequestEnd::Completed && end != RequestEnd::Wrong &&
                      aRequest->m_tries < tries &&
                      IoThreads::Now() + backOff < aRequest->m_deadline;
--- a/modules/cr_admission/share/cr_OfferedLoad.cpp
+++ b/modules/cr_admission/share/cr_OfferedLoad.cpp
@@ -37,12 +37,6 @@
   }
 }
 
-void
-OfferedLoad::Reset()
-{
-  *this = OfferedLoad();
-}
-
 double
 OfferedLoad::Load(std::uint32_t aLimit,
                   std::size_t aWaiting,
@@ -53,15 +47,6 @@
          aLimit;
 }
 
-Duration
-OfferedLoad::MeanTime(const std::string& aKind) const
-{
-  const auto time = m_times.find(aKind);
-  return time == m_times.end() ? Duration::zero()
-                               : std::chrono::duration_cast<Duration>(
-                                   std::chrono::duration<double>(time->second));
-}
-
 double
 OfferedLoad::Decayed(Instant aNow) const
 {
--- a/modules/cr_admission/share/cr_OfferedLoad.h
+++ b/modules/cr_admission/share/cr_OfferedLoad.h
@@ -33,18 +33,11 @@
   /** Learns the time that a call of the kind spent in the server. */
   void LearnTime(const std::string& aKind, Duration aTime);
 
-  /** Forgets everything, for a server that has just come up. */
-  void Reset();
-
   //==========================================================================
   /** Returns the load; 1 is as much as the limit can run. aWaiting calls wait
       for the server. Precondition: aLimit is greater than 0. */
   double Load(std::uint32_t aLimit, std::size_t aWaiting, Instant aNow) const;
 
-  /** Returns the mean time in the server of a call of the kind; zero when
-      nothing was measured. */
-  Duration MeanTime(const std::string& aKind) const;
-
 private:
   double Decayed(Instant aNow) const;
 
--- a/modules/cr_command/command/cr_TextFile.cpp
+++ b/modules/cr_command/command/cr_TextFile.cpp
@@ -1,6 +1,5 @@
 #include "cr_command/command/cr_TextFile.h"
 
-#include <charconv>
 #include <filesystem>
 #include <fstream>
 #include <sstream>
@@ -38,19 +37,16 @@
 ParseEndpointText(const std::string& aText)
 {
   const auto colon = aText.rfind(':');
-  std::uint16_t port = 0;
-  bool valid = colon != std::string::npos && colon > 0;
-  if (valid) {
-    const char* begin = aText.data() + colon + 1;
-    const char* end = aText.data() + aText.size();
-    const auto result = std::from_chars(begin, end, port);
-    valid = result.ec == std::errc() && result.ptr == end && port != 0;
+  std::optional<std::uint16_t> port;
+  if (colon != std::string::npos && colon > 0) {
+    port =
+      ParseNumber<std::uint16_t>(std::string_view(aText).substr(colon + 1));
   }
-  if (!valid) {
+  if (port.value_or(0) == 0) {
     return Failure(ErrorCode::Malformed,
                    "\"" + aText + "\" is not address:port");
   }
-  return Endpoint{ aText.substr(0, colon), port };
+  return Endpoint{ aText.substr(0, colon), *port };
 }
 
 }
--- a/modules/cr_core/cr_core.h
+++ b/modules/cr_core/cr_core.h
@@ -1,7 +1,7 @@
 #pragma once
 
-/** Vocabulary shared by all modules: time, identities, outcomes, errors,
-    findings, seeded random numbers and guarded state.
+/** Vocabulary shared by all modules: time, numbers in texts, identities,
+    outcomes, errors, findings, seeded random numbers and guarded state.
 
     Nothing here opens a socket, reads a clock or starts a thread. */
 
@@ -15,4 +15,5 @@
 #include "cr_core/policy/cr_PolicySwitches.h"
 #include "cr_core/random/cr_Hash.h"
 #include "cr_core/random/cr_Random.h"
+#include "cr_core/text/cr_Number.h"
 #include "cr_core/time/cr_Time.h"
--- a/modules/cr_core/time/cr_Time.h
+++ b/modules/cr_core/time/cr_Time.h
@@ -58,4 +58,20 @@
   return std::chrono::duration<double>(aDuration).count();
 }
 
+/** Returns a duration of so many seconds, rounded down. Thread safe. */
+constexpr Duration
+FromSeconds(double aSeconds)
+{
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(aSeconds));
+}
+
+/** Returns the duration times the factor, rounded towards zero. Thread safe. */
+constexpr Duration
+Scale(Duration aDuration, double aFactor)
+{
+  return Duration(static_cast<Duration::rep>(
+    static_cast<double>(aDuration.count()) * aFactor));
+}
+
 }
--- a/modules/cr_node/flow/cr_ConfigurationFlow.cpp
+++ b/modules/cr_node/flow/cr_ConfigurationFlow.cpp
@@ -59,10 +59,8 @@
     std::clamp<Duration>(kHeadIntervalPerNode * m_fleetSize,
                          kLeastHeadInterval,
                          kGreatestHeadInterval);
-  const double factor = kJitterLeast + kJitterSpan * m_random.Unit();
-  m_nextDue =
-    aMoment.m_now + Duration(static_cast<Duration::rep>(
-                      static_cast<double>(interval.count()) * factor));
+  m_nextDue = aMoment.m_now +
+              Scale(interval, kJitterLeast + kJitterSpan * m_random.Unit());
   if (m_fetch && aMoment.m_now - m_fetch->m_stepStarted < kStepLimit) {
     return;
   }
--- a/modules/cr_node/flow/cr_DirectoryFlow.cpp
+++ b/modules/cr_node/flow/cr_DirectoryFlow.cpp
@@ -509,9 +509,7 @@
 Duration
 DirectoryFlow::Jitter(Duration aMean)
 {
-  const double factor = kJitterLeast + kJitterSpan * m_random.Unit();
-  return Duration(
-    static_cast<Duration::rep>(static_cast<double>(aMean.count()) * factor));
+  return Scale(aMean, kJitterLeast + kJitterSpan * m_random.Unit());
 }
 
 StoreCallId
--- a/modules/cr_process/wire/cr_CallWire.cpp
+++ b/modules/cr_process/wire/cr_CallWire.cpp
@@ -1,6 +1,5 @@
 #include "cr_process/wire/cr_CallWire.h"
 
-#include <charconv>
 #include <limits>
 
 #include <fmt/format.h>
@@ -33,15 +32,11 @@
            std::string_view aName,
            std::uint64_t aGreatest)
 {
-  const std::string_view text = FindHeader(aHeaders, aName);
-  std::uint64_t number = 0;
-  const auto* end = text.data() + text.size();
-  const auto result = std::from_chars(text.data(), end, number);
-  if (text.empty() || result.ec != std::errc() || result.ptr != end ||
-      number > aGreatest) {
+  const auto number = ParseNumber<std::uint64_t>(FindHeader(aHeaders, aName));
+  if (!number || *number > aGreatest) {
     return Malformed(aName);
   }
-  return number;
+  return *number;
 }
 
 template<typename Tag>
--- a/modules/cr_relay/flow/cr_LoadAverage.cpp
+++ b/modules/cr_relay/flow/cr_LoadAverage.cpp
@@ -13,12 +13,6 @@
 /* Time in which a load without news falls to a third. */
 constexpr double kFadeSeconds = 2.0;
 
-double
-SecondsBetween(Instant aFirst, Instant aLast)
-{
-  return std::chrono::duration<double>(aLast - aFirst).count();
-}
-
 }
 
 void
@@ -30,7 +24,7 @@
     // A load told long after the last one counts nearly alone; of many told at
     // the same time each counts a little.
     constexpr double leastGain = 0.02;
-    const double age = SecondsBetween(m_learnt, aNow);
+    const double age = ToSeconds(aNow - m_learnt);
     const double gain =
       std::max(leastGain, 1 - std::exp(-age / kAverageSeconds));
     m_value += gain * (aLoad - m_value);
@@ -44,7 +38,7 @@
   if (m_learnt == Instant::min()) {
     return 0;
   }
-  return m_value * std::exp(-SecondsBetween(m_learnt, aNow) / kFadeSeconds);
+  return m_value * std::exp(-ToSeconds(aNow - m_learnt) / kFadeSeconds);
 }
 
 }
--- a/modules/cr_relay/flow/cr_RelayEntry.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntry.cpp
@@ -78,13 +78,6 @@
   return result;
 }
 
-Duration
-Scale(Duration aDuration, double aFactor)
-{
-  return Duration(static_cast<Duration::rep>(
-    static_cast<double>(aDuration.count()) * aFactor));
-}
-
 }
 
 RelayEntry::RelayEntry(RelayShared& aShared)
--- a/modules/cr_relay_server/dialect/cr_PeerWire.cpp
+++ b/modules/cr_relay_server/dialect/cr_PeerWire.cpp
@@ -1,6 +1,5 @@
 #include "cr_relay_server/dialect/cr_PeerWire.h"
 
-#include <charconv>
 #include <concepts>
 
 #include <boost/beast/http/rfc7230.hpp>
@@ -43,11 +42,7 @@
   template<std::integral Number>
   void Read(std::string_view aValue, Number& aNumber)
   {
-    ++m_count;
-    const auto [end, error] =
-      std::from_chars(aValue.data(), aValue.data() + aValue.size(), aNumber);
-    m_isWellFormed &=
-      error == std::errc() && end == aValue.data() + aValue.size();
+    Read(ParseNumber<Number>(aValue), aNumber);
   }
 
   void Read(std::string_view aValue, std::string& aText)
--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -57,15 +57,12 @@
 std::optional<Duration>
 ReadPatience(std::string_view aText)
 {
-  std::int64_t milliseconds = 0;
-  const auto [end, error] =
-    std::from_chars(aText.data(), aText.data() + aText.size(), milliseconds);
+  const auto milliseconds = ParseNumber<std::int64_t>(aText);
   constexpr std::int64_t longest = std::int64_t{ 24 } * 3600 * 1000;
-  if (error != std::errc() || end != aText.data() + aText.size() ||
-      milliseconds < 0 || milliseconds > longest) {
+  if (!milliseconds || *milliseconds < 0 || *milliseconds > longest) {
     return std::nullopt;
   }
-  return Milliseconds(milliseconds);
+  return Milliseconds(*milliseconds);
 }
 
 }
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -271,9 +271,9 @@
     aAction.m_status, std::string(ToText(aAction.m_reason)) + "\n");
   response.m_headers.push_back({ m_dialect.m_headers.m_requestId, open->m_id });
   if (aAction.m_retryAfter) {
-    const std::chrono::duration<double> seconds = *aAction.m_retryAfter;
     response.m_headers.push_back(
-      { "Retry-After", fmt::format("{:.3f}", seconds.count()) });
+      { "Retry-After",
+        fmt::format("{:.3f}", ToSeconds(*aAction.m_retryAfter)) });
   }
   Finish(aAction.m_call, std::move(response), report);
 }
--- a/modules/cr_routing/health/cr_HostHealth.cpp
+++ b/modules/cr_routing/health/cr_HostHealth.cpp
@@ -63,9 +63,7 @@
   m_ejections = isRepeated ? std::min(m_ejections + 1, kGreatestDoublings) : 0;
   const double factor =
     static_cast<double>(1U << m_ejections) * (1 + kEjectionSpread * aUnit);
-  m_ejectedUntil =
-    aNow +
-    Duration(static_cast<Duration::rep>(factor * kShortestEjection.count()));
+  m_ejectedUntil = aNow + Scale(kShortestEjection, factor);
   StartRamp(m_ejectedUntil);
   m_failuresInRow = 0;
 }
--- a/modules/cr_store/follow/cr_StorePace.cpp
+++ b/modules/cr_store/follow/cr_StorePace.cpp
@@ -18,9 +18,7 @@
   ++m_failures;
   const Duration mean = std::min(kFirstPause * (1 << doublings), kLongestPause);
   const double factor = m_random.Unit() + 0.5;
-  m_notBefore = aNow + std::chrono::duration_cast<Duration>(
-                         std::chrono::duration<double, Duration::period>(
-                           factor * static_cast<double>(mean.count())));
+  m_notBefore = aNow + Scale(mean, factor);
 }
 
 void
--- a/programs/corianderrack-inspect/main.cpp
+++ b/programs/corianderrack-inspect/main.cpp
@@ -1,7 +1,6 @@
 /* The operators' read-only program: status of nodes, what is in force, and the
    audit trail. */
 
-#include <charconv>
 #include <deque>
 
 #include <fmt/format.h>
@@ -279,11 +278,10 @@
       filter.m_since = *since;
     }
     if (m_command.Has("limit")) {
-      const std::string text = m_command.Value("limit");
-      const char* end = text.data() + text.size();
-      const auto result = std::from_chars(text.data(), end, filter.m_limit);
-      if (result.ec != std::errc() || result.ptr != end ||
-          filter.m_limit == 0 || filter.m_limit > kGreatestLimit) {
+      const auto limit =
+        cr::ParseNumber<decltype(filter.m_limit)>(m_command.Value("limit"));
+      filter.m_limit = limit.value_or(0);
+      if (filter.m_limit == 0 || filter.m_limit > kGreatestLimit) {
         return cr::Failure(cr::ErrorCode::Malformed,
                            "--limit must be from 1 to 100000");
       }
