JSON is decoded, and texts quoted, in the settings module

Cause: read once more, six decoders each parsed, called one function and turned the library's exception into an error, one of them as a template of its own; and QuoteJson stood in the relay's log, from where the headers between nodes took it. DecodeJson, DecodeJsonText and QuoteJson stand beside ParseJson and WriteJson now, and all of them call these.

Ruled out: the ownership map and the platform's store calls and heartbeats, which catch more kinds of exceptions or decide between several messages.

--- a/modules/cr_configuration/publish/cr_ConfigurationRows.cpp
+++ b/modules/cr_configuration/publish/cr_ConfigurationRows.cpp
@@ -10,22 +10,17 @@
 
 constexpr std::uint64_t kSecondHalfSeed = 0x5EED;
 
-template<typename Result, typename Decode>
-Expected<Result>
-DecodeWith(std::string_view aText, Decode aDecode)
+template<typename Decode>
+JsonDecoded<Decode>
+DecodeObject(std::string_view aText, Decode aDecode)
 {
-  const auto value = ParseJson(aText);
-  if (!value) {
-    return tl::unexpected(value.error());
-  }
-  if (!value->isObject()) {
-    return Failure(ErrorCode::Malformed, "an object is expected");
-  }
-  try {
-    return aDecode(*value);
-  } catch (const Json::Exception& exception) {
-    return Failure(ErrorCode::Malformed, exception.what());
-  }
+  return DecodeJsonText(
+    aText, [&](const Json::Value& aValue) -> JsonDecoded<Decode> {
+      if (!aValue.isObject()) {
+        return Failure(ErrorCode::Malformed, "an object is expected");
+      }
+      return aDecode(aValue);
+    });
 }
 
 Json::Value
@@ -80,7 +75,7 @@
 Expected<ConfigurationHead>
 DecodeHead(std::string_view aText)
 {
-  return DecodeWith<ConfigurationHead>(aText, ReadHead);
+  return DecodeObject(aText, ReadHead);
 }
 
 std::string
@@ -106,7 +101,7 @@
 Expected<PublicationRecord>
 DecodeRecord(std::string_view aText)
 {
-  return DecodeWith<PublicationRecord>(aText, [](const Json::Value& aValue) {
+  return DecodeObject(aText, [](const Json::Value& aValue) {
     PublicationRecord record;
     record.m_head = ReadHead(aValue);
     record.m_base = aValue["base"].asUInt64();
@@ -134,7 +129,7 @@
 Expected<Manifest>
 DecodeManifest(std::string_view aText)
 {
-  return DecodeWith<Manifest>(aText, [](const Json::Value& aValue) {
+  return DecodeObject(aText, [](const Json::Value& aValue) {
     Manifest manifest;
     for (const std::string& service : aValue.getMemberNames()) {
       manifest.m_objects.emplace(service, aValue[service].asString());
--- a/modules/cr_membership/rows/cr_NodeRow.cpp
+++ b/modules/cr_membership/rows/cr_NodeRow.cpp
@@ -91,11 +91,7 @@
   if (!aValue.isArray() || aValue.size() != kMemberCount) {
     return Failure(ErrorCode::Malformed, "a node's row is not a list of nine");
   }
-  try {
-    return ReadRow(aValue);
-  } catch (const Json::Exception& exception) {
-    return Failure(ErrorCode::Malformed, exception.what());
-  }
+  return DecodeJson(aValue, ReadRow);
 }
 
 std::string
@@ -107,11 +103,7 @@
 Expected<NodeRow>
 DecodeNodeRow(std::string_view aText)
 {
-  const auto value = ParseJson(aText);
-  if (!value) {
-    return tl::unexpected(value.error());
-  }
-  return ParseNodeRow(*value);
+  return DecodeJsonText(aText, ParseNodeRow);
 }
 
 }
--- a/modules/cr_process/wire/cr_RumourWire.cpp
+++ b/modules/cr_process/wire/cr_RumourWire.cpp
@@ -151,11 +151,7 @@
   if (!aValue.isObject()) {
     return Failure(ErrorCode::Malformed, "a rumour is an object");
   }
-  try {
-    return DecodeRumourValue(aValue);
-  } catch (const Json::Exception& exception) {
-    return Failure(ErrorCode::Malformed, exception.what());
-  }
+  return DecodeJson(aValue, DecodeRumourValue);
 }
 
 Json::Value
--- a/modules/cr_relay_server/dialect/cr_PeerWire.cpp
+++ b/modules/cr_relay_server/dialect/cr_PeerWire.cpp
@@ -5,7 +5,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <fmt/format.h>
 
-#include "cr_relay_server/report/cr_RelayLog.h"
+#include "cr_settings/cr_settings.h"
 
 namespace cr {
 
--- a/modules/cr_relay_server/report/cr_RelayLog.cpp
+++ b/modules/cr_relay_server/report/cr_RelayLog.cpp
@@ -120,10 +120,4 @@
          m_implementation->m_pool->overrun_counter();
 }
 
-std::string
-QuoteJson(std::string_view aText)
-{
-  return WriteJson(Json::Value(std::string(aText)));
-}
-
 }
--- a/modules/cr_relay_server/report/cr_RelayLog.h
+++ b/modules/cr_relay_server/report/cr_RelayLog.h
@@ -48,8 +48,4 @@
   std::unique_ptr<Implementation> m_implementation;
 };
 
-/** Returns the text as a JSON string, with its quotes. Thread safe. */
-std::string
-QuoteJson(std::string_view aText);
-
 }
--- a/modules/cr_settings/cr_settings.h
+++ b/modules/cr_settings/cr_settings.h
@@ -5,6 +5,7 @@
 
     Parsing is pure: the caller reads the file. */
 
+#include "cr_settings/json/cr_JsonDecode.h"
 #include "cr_settings/json/cr_JsonDocument.h"
 #include "cr_settings/json/cr_ObjectReader.h"
 #include "cr_settings/node/cr_NodeSettings.h"
--- a/modules/cr_settings/json/cr_JsonDocument.cpp
+++ b/modules/cr_settings/json/cr_JsonDocument.cpp
@@ -131,4 +131,10 @@
   return Json::writeString(builder, aValue);
 }
 
+std::string
+QuoteJson(std::string_view aText)
+{
+  return WriteJson(Json::Value(std::string(aText)));
+}
+
 }
--- a/modules/cr_settings/json/cr_JsonDocument.h
+++ b/modules/cr_settings/json/cr_JsonDocument.h
@@ -49,4 +49,8 @@
 std::string
 WriteJson(const Json::Value& aValue);
 
+/** Writes the text as a JSON string, quotes included. Thread safe. */
+std::string
+QuoteJson(std::string_view aText);
+
 }
--- a/modules/cr_store/codec/cr_StoreCodec.cpp
+++ b/modules/cr_store/codec/cr_StoreCodec.cpp
@@ -1,6 +1,6 @@
 #include "cr_store/codec/cr_StoreCodec.h"
 
-#include "cr_settings/json/cr_JsonDocument.h"
+#include "cr_settings/cr_settings.h"
 
 namespace cr {
 
@@ -290,15 +290,7 @@
 Expected<StoreRequest>
 DecodeStoreRequest(std::string_view aText)
 {
-  const auto value = ParseJson(aText);
-  if (!value) {
-    return tl::unexpected(value.error());
-  }
-  try {
-    return DecodeRequestValue(*value);
-  } catch (const Json::Exception& exception) {
-    return Failure(ErrorCode::Malformed, exception.what());
-  }
+  return DecodeJsonText(aText, DecodeRequestValue);
 }
 
 std::string
@@ -312,15 +304,8 @@
 StoreAnswer
 DecodeStoreAnswer(std::string_view aText)
 {
-  const auto value = ParseJson(aText);
-  if (!value) {
-    return StoreFailed{ value.error().m_text };
-  }
-  try {
-    return DecodeAnswerValue(*value);
-  } catch (const Json::Exception& exception) {
-    return StoreFailed{ exception.what() };
-  }
+  auto answer = DecodeJsonText(aText, DecodeAnswerValue);
+  return answer ? std::move(*answer) : StoreFailed{ answer.error().m_text };
 }
 
 }
