Admission of a route has a class of its own; lookups once

Beside it: the gate compared a verdict by its text, and filled in a report of what was not handed over in two places; the call pattern looked up the same two names twice for each answer, and its comment told of the counting before it was mended.

Ruled out: one timer for the two shells that arm it in the same words; one has several threads and a lock around it, the other one thread and none.

--- a/modules/cr_admission/share/cr_CallPattern.cpp
+++ b/modules/cr_admission/share/cr_CallPattern.cpp
@@ -78,17 +78,19 @@
 {
   const auto route = m_routes.find(aRoute);
   const auto target = m_targets.find(aCalled);
-  const bool isKnown = route != m_routes.end() && target != m_targets.end() &&
-                       route->second < target->second.m_factors.size();
-  return isKnown ? target->second.m_factors.at(route->second) : 0;
+  return route != m_routes.end() && target != m_targets.end()
+           ? FactorOf(target->second, route->second)
+           : 0;
 }
 
 bool
 CallPattern::Calls(const std::string& aRoute, const std::string& aCalled) const
 {
-  return CallsPerRequest(aRoute, aCalled) >= kLeastCalls &&
-         MayContain(m_runTimes.at(m_routes.find(aRoute)->second),
-                    m_targets.find(aCalled)->second.m_time);
+  const auto route = m_routes.find(aRoute);
+  const auto target = m_targets.find(aCalled);
+  return route != m_routes.end() && target != m_targets.end() &&
+         FactorOf(target->second, route->second) >= kLeastCalls &&
+         MayContain(m_runTimes.at(route->second), target->second.m_time);
 }
 
 void
@@ -128,8 +130,15 @@
   std::fill(m_runs.begin(), m_runs.end(), 0.0);
 }
 
+/* A route that came after the last window has none yet. */
+double
+CallPattern::FactorOf(const Target& aTarget, std::size_t aRoute)
+{
+  return aRoute < aTarget.m_factors.size() ? aTarget.m_factors.at(aRoute) : 0;
+}
+
 bool
-CallPattern::MayContain(const MeanTime& aRun, const MeanTime& aCall) const
+CallPattern::MayContain(const MeanTime& aRun, const MeanTime& aCall)
 {
   return aRun.m_count < kLeastTimes || aCall.m_count < kLeastTimes ||
          aRun.m_seconds / aRun.m_count >=
--- a/modules/cr_admission/share/cr_CallPattern.h
+++ b/modules/cr_admission/share/cr_CallPattern.h
@@ -9,10 +9,10 @@
 namespace cr {
 
 /** Learns how many calls of each kind a backend server makes for one request of
-    each route that it runs, from counts alone.
+    each route that it runs, from counts and times alone.
 
     In windows of fixed length the calls made are a sum over the requests that
-    ended, each route with its own factor. The factors that explain the windows
+    began, each route with its own factor. The factors that explain the windows
     best are found by least squares, none below 0, with older windows fading.
     Where rates hardly change, counts alone leave room for error; but no
     request ends before the calls that it waits for, so routes whose requests
@@ -60,7 +60,8 @@
 
   void Advance(Instant aNow);
   void EndWindow();
-  bool MayContain(const MeanTime& aRun, const MeanTime& aCall) const;
+  static double FactorOf(const Target& aTarget, std::size_t aRoute);
+  static bool MayContain(const MeanTime& aRun, const MeanTime& aCall);
   void Solve(Target& aTarget) const;
   std::size_t IndexOf(const std::string& aRoute);
 
--- a/modules/cr_relay/decisions/cr_RelayDecisions.h
+++ b/modules/cr_relay/decisions/cr_RelayDecisions.h
@@ -58,12 +58,6 @@
     return m_shared.m_routes.Current();
   }
 
-  /** Returns the share of a route's requests that this node lets in. */
-  double ShareOf(const std::string& aRoute) const
-  {
-    return m_entry.ShareOf(aRoute);
-  }
-
 private:
   template<typename Event>
   void Do(const Event& aEvent, Instant aNow, RelayActions& aActions);
--- a/modules/cr_relay/flow/cr_RelayEntry.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntry.cpp
@@ -1,7 +1,6 @@
 #include "cr_relay/flow/cr_RelayEntry.h"
 
 #include <algorithm>
-#include <array>
 
 #include <fmt/format.h>
 
@@ -12,16 +11,13 @@
 /* Times that one request is sent on at most, to hosts that did not take it
    too. */
 constexpr std::size_t kGreatestSends = 6;
-/* Routes whose state is kept. */
-constexpr std::size_t kStateLimit = 8192;
+/* Routes whose admission is kept. */
+constexpr std::size_t kAdmissionLimit = 8192;
 /* Part of its objective that a customer's request may wait for a slot: what is
    refused until then has lost nothing that a second try could not make up. */
 constexpr int kNewcomerWaitDivisor = 8;
 /* Part of its time left that a call below a running request may wait. */
 constexpr int kBegunWaitDivisor = 2;
-/* Load that a route's share aims at, by its priority; the greatest priority is
-   refused last. Beyond the last one all are alike. */
-constexpr std::array<double, 3> kShareTargets = { 1.4, 1.3, 0.95 };
 /* From this load on a gate's callers share its work over the whole region. */
 constexpr double kBusyLoad = 0.95;
 /* A host that could not be connected to is tried again after this time, while
@@ -35,26 +31,12 @@
 constexpr double kRetryAfterLeast = 0.15;
 constexpr double kRetryAfterSpread = 0.35;
 constexpr double kRetryAfterPatience = 0.33;
-/* Two patiences that differ by less than one part in so many are the same: some
-   of it passes on the way. */
-constexpr int kPatienceTolerance = 50;
-/* Weight of a request that has the usual patience, and of one that has not, in
-   finding out which patience is usual. */
-constexpr int kUsualGain = 2;
-constexpr int kUsualLimit = 64;
 
 constexpr unsigned kStatusNotFound = 404;
 constexpr unsigned kStatusBadGateway = 502;
 constexpr unsigned kStatusUnavailable = 503;
 constexpr unsigned kStatusTimeout = 504;
 
-double
-TargetOf(const RouteDescription& aRoute)
-{
-  return kShareTargets.at(
-    std::min<std::size_t>(aRoute.m_priority, kShareTargets.size() - 1));
-}
-
 /* The host is not the one that the picture shows; nobody looked at the
    request. */
 bool
@@ -117,13 +99,9 @@
   call.m_isBegun = m_shared.m_calledRoutes.contains(call.m_route->m_name);
   if (call.m_isBegun) {
     m_shared.m_pattern.CountCall(call.m_route->m_name, aNow);
-  } else if (m_shared.m_settings.m_isGoverned) {
-    if (!IsLetIn(aEvent, call, aNow)) {
-      Refuse(call, kStatusUnavailable, Reason::Overloaded, aNow, aActions);
-      return;
-    }
-    call.m_isBounded = true;
-    m_states[call.m_route->m_name].m_bound.Begin();
+  } else if (m_shared.m_settings.m_isGoverned && !IsLetIn(aEvent, call, aNow)) {
+    Refuse(call, kStatusUnavailable, Reason::Overloaded, aNow, aActions);
+    return;
   }
   m_budget.CountRequest(call.m_service, aNow);
   Call& stored = m_calls.emplace(call.m_id, std::move(call)).first->second;
@@ -200,20 +178,6 @@
   m_budget.SetNodes(m_shared.m_directory.Size());
 }
 
-double
-RelayEntry::ShareOf(const std::string& aRoute) const
-{
-  const auto state = m_states.find(aRoute);
-  return state != m_states.end() ? state->second.m_share.Share() : 1;
-}
-
-double
-RelayEntry::BoundOf(const std::string& aRoute) const
-{
-  const auto state = m_states.find(aRoute);
-  return state != m_states.end() ? state->second.m_bound.Bound() : 0;
-}
-
 //==============================================================================
 bool
 RelayEntry::IsLetIn(const RequestArrived& aEvent,
@@ -221,43 +185,30 @@
                     Instant aNow)
 {
   const std::string& name = aCall.m_route->m_name;
-  if (m_states.size() >= kStateLimit && !m_states.contains(name)) {
-    m_states.clear();
+  if (m_admissions.size() >= kAdmissionLimit && !m_admissions.contains(name)) {
+    m_admissions.clear();
   }
-  RouteState& state = m_states[name];
-  state.m_share.SetTarget(TargetOf(*aCall.m_route));
-  const bool isReturning =
-    aEvent.m_patience && IsReturning(state, *aEvent.m_patience);
-  return state.m_share.Admit({ isReturning, m_random.Unit() }, aNow) &&
-         state.m_bound.HasRoom();
+  return m_admissions[name].Admit(
+    *aCall.m_route, aEvent.m_patience, m_random.Unit(), aNow);
 }
 
-void
-RelayEntry::End(const Call& aCall)
+RouteAdmission*
+RelayEntry::AdmissionOf(const Call& aCall)
 {
-  const auto state = m_states.find(aCall.m_route->m_name);
-  if (aCall.m_isBounded && state != m_states.end()) {
-    state->second.m_bound.End();
-  }
-  m_calls.erase(aCall.m_id);
+  const auto admission = aCall.m_route != nullptr
+                           ? m_admissions.find(aCall.m_route->m_name)
+                           : m_admissions.end();
+  return admission != m_admissions.end() ? &admission->second : nullptr;
 }
 
-/* Customers of a route wait equally long; one that was refused has less time
-   left when it returns. */
-bool
-RelayEntry::IsReturning(RouteState& aState, Duration aPatience)
+void
+RelayEntry::End(const Call& aCall)
 {
-  const Duration tolerance = aState.m_usualPatience / kPatienceTolerance;
-  const bool isUsual = aPatience >= aState.m_usualPatience - tolerance &&
-                       aPatience <= aState.m_usualPatience + tolerance;
-  if (isUsual) {
-    aState.m_usualCount =
-      std::min(aState.m_usualCount + kUsualGain, kUsualLimit);
-  } else if (--aState.m_usualCount < 0) {
-    aState.m_usualPatience = aPatience;
-    aState.m_usualCount = kUsualGain;
+  RouteAdmission* admission = AdmissionOf(aCall);
+  if (!aCall.m_isBegun && admission != nullptr) {
+    admission->End();
   }
-  return !isUsual && aPatience < aState.m_usualPatience;
+  m_calls.erase(aCall.m_id);
 }
 
 void
@@ -401,21 +352,13 @@
   } else {
     m_shared.m_calledRoutes.erase(name);
   }
-  const auto state = m_states.find(name);
-  if (aCall.m_isBounded && state != m_states.end()) {
-    state->second.m_bound.Learn(
-      aReport.m_pathLoad, TargetOf(*aCall.m_route), aNow);
-  }
-  if (aReport.m_pathLoad <= 0) {
-    return;
-  }
   if (aCall.m_isBegun) {
-    m_shared.m_pathLoads[name].Learn(aReport.m_pathLoad, aNow);
-    return;
-  }
-  if (state != m_states.end()) {
-    state->second.m_share.Learn(
-      aReport.m_pathLoad, aNow - aCall.m_arrived, aNow);
+    if (aReport.m_pathLoad > 0) {
+      m_shared.m_pathLoads[name].Learn(aReport.m_pathLoad, aNow);
+    }
+  } else if (RouteAdmission* admission = AdmissionOf(aCall)) {
+    admission->Learn(
+      *aCall.m_route, aReport.m_pathLoad, aNow - aCall.m_arrived, aNow);
   }
 }
 
@@ -464,9 +407,9 @@
   if (aStatus == kStatusUnavailable) {
     refusal.m_retryAfter = RetryAfter(aCall, aNow);
   }
-  if (aCall.m_route != nullptr) {
-    refusal.m_share = ShareOf(aCall.m_route->m_name);
-    refusal.m_bound = BoundOf(aCall.m_route->m_name);
+  if (const RouteAdmission* admission = AdmissionOf(aCall)) {
+    refusal.m_share = admission->Share();
+    refusal.m_bound = admission->Bound();
   }
   if (!aCall.m_tried.empty()) {
     refusal.m_host = aCall.m_tried.back();
--- a/modules/cr_relay/flow/cr_RelayEntry.h
+++ b/modules/cr_relay/flow/cr_RelayEntry.h
@@ -6,6 +6,7 @@
 
 #include "cr_relay/event/cr_RelayAction.h"
 #include "cr_relay/flow/cr_RelayShared.h"
+#include "cr_relay/flow/cr_RouteAdmission.h"
 #include "cr_retry/cr_retry.h"
 
 namespace cr {
@@ -51,13 +52,6 @@
   /** Returns the number of requests in progress. */
   std::size_t Size() const { return m_calls.size(); }
 
-  /** Returns the share of a route's requests that is let in. */
-  double ShareOf(const std::string& aRoute) const;
-
-  /** Returns the bound of a route's requests in progress; 0 when none is set.
-   */
-  double BoundOf(const std::string& aRoute) const;
-
 private:
   struct Call
   {
@@ -69,8 +63,6 @@
     Instant m_arrived;
     Instant m_deadline;
     bool m_isBegun = false;
-    /* Counted by the bound of its route. */
-    bool m_isBounded = false;
     std::optional<RouteTarget> m_target;
     Instant m_sent;
     std::vector<HostName> m_tried;
@@ -81,18 +73,8 @@
     Reason m_lastReason = Reason::NoServer;
   };
 
-  /* What is known of the requests of a route. */
-  struct RouteState
-  {
-    AdmittedShare m_share{ 1 };
-    InFlightBound m_bound;
-    /* The patience that most requests come with, and how sure that is. */
-    Duration m_usualPatience = Duration::zero();
-    int m_usualCount = 0;
-  };
-
   bool IsLetIn(const RequestArrived& aEvent, const Call& aCall, Instant aNow);
-  bool IsReturning(RouteState& aState, Duration aPatience);
+  RouteAdmission* AdmissionOf(const Call& aCall);
   std::optional<RouteTarget> Choose(const Call& aCall,
                                     Router& aRouter,
                                     Instant aNow) const;
@@ -119,7 +101,7 @@
   ServiceRotation m_rotation;
   RetryBudget m_budget;
   std::unordered_map<CallId, Call> m_calls;
-  std::unordered_map<std::string, RouteState> m_states;
+  std::unordered_map<std::string, RouteAdmission> m_admissions;
 };
 
 }
--- a/modules/cr_relay/flow/cr_RelayGate.cpp
+++ b/modules/cr_relay/flow/cr_RelayGate.cpp
@@ -69,6 +69,16 @@
   return report;
 }
 
+/* Of a request that was not handed over. */
+RelayReport
+NotRunReport(Reason aReason)
+{
+  RelayReport report;
+  report.m_outcome = Outcome::NotRun;
+  report.m_reason = aReason;
+  return report;
+}
+
 }
 
 RelayGate::RelayGate(RelayShared& aShared)
@@ -82,12 +92,10 @@
                   RelayActions& aActions)
 {
   if (!IsOpen() || aEvent.m_header.m_service != Server().m_service) {
-    RelayReport report;
-    report.m_outcome = Outcome::NotRun;
-    report.m_reason =
+    RelayReport report = NotRunReport(
       m_shared.m_isLeaving || Server().m_state == ServerState::Leaving
         ? Reason::Leaving
-        : Reason::NoServer;
+        : Reason::NoServer);
     report.m_generation = m_shared.m_routes.InForce();
     aActions.emplace_back(AnswerPeer{ aEvent.m_call, report });
     return;
@@ -159,7 +167,7 @@
   }
   if (aEvent.m_verdict == ServerVerdict::WrongServer ||
       aEvent.m_verdict == ServerVerdict::Unreachable) {
-    NoteUnreachable(ToText(aEvent.m_verdict), aNow, aActions);
+    NoteUnreachable(aEvent.m_verdict, aNow, aActions);
   } else {
     m_unreachable = 0;
   }
@@ -274,10 +282,7 @@
       continue;
     }
     const auto& refusal = std::get<GateRefusal>(decision);
-    RelayReport report;
-    report.m_outcome = Outcome::NotRun;
-    report.m_reason = refusal.m_reason;
-    Answer(refusal.m_call, report, aNow, aActions);
+    Answer(refusal.m_call, NotRunReport(refusal.m_reason), aNow, aActions);
   }
 }
 
@@ -347,14 +352,14 @@
 }
 
 void
-RelayGate::NoteUnreachable(std::string_view aCause,
+RelayGate::NoteUnreachable(ServerVerdict aVerdict,
                            Instant aNow,
                            RelayActions& aActions)
 {
   if (++m_unreachable >= kUnreachableLimit ||
-      aCause == ToText(ServerVerdict::WrongServer)) {
+      aVerdict == ServerVerdict::WrongServer) {
     m_nextAsk = aNow;
-    NoteServer(m_announcements.Lose(), aCause, aNow, aActions);
+    NoteServer(m_announcements.Lose(), ToText(aVerdict), aNow, aActions);
   }
 }
 
--- a/modules/cr_relay/flow/cr_RelayGate.h
+++ b/modules/cr_relay/flow/cr_RelayGate.h
@@ -90,7 +90,7 @@
                   std::string_view aCause,
                   Instant aNow,
                   RelayActions& aActions);
-  void NoteUnreachable(std::string_view aCause,
+  void NoteUnreachable(ServerVerdict aVerdict,
                        Instant aNow,
                        RelayActions& aActions);
   std::uint32_t Limit() const;
