Log lines for callers that left and for late reads; a budget of their own for lines about the node

- caller-left: one line, with where the request was (read, entry, queue, server).
- EventLoopProbe measures how late a readable descriptor is read: corianderrack_relay_read_delay_seconds, and a line late-read above 100 ms.
- Lines about requests no longer use up the budget of lines about the node: the busiest node's log had reached the limit of 100 lines a second.

No decision changes.

--- a/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
@@ -119,6 +119,12 @@
     return;
   }
   Call& call = found->second;
+  aActions.emplace_back(
+    LogDecision{ "caller-left",
+                 call.m_id,
+                 fmt::format("\"at\":\"entry\",\"host\":\"{}\",\"held_ms\":{}",
+                             call.m_target ? call.m_target->m_host : "",
+                             ToMilliseconds(aNow - call.m_arrived)) });
   if (call.m_target) {
     AttemptResult result;
     result.m_connectionLost = true;
--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -117,14 +117,24 @@
 
 void
 RelayGateFlow::Handle(const RelayCallerDisconnected& aEvent,
-                      Instant /*aNow*/,
+                      Instant aNow,
                       RelayActions& aActions)
 {
   const auto call = m_calls.find(aEvent.m_call);
   if (call == m_calls.end()) {
     return;
   }
-  if (m_queue.Withdraw(aEvent.m_call)) {
+  const bool isWaiting = m_queue.Withdraw(aEvent.m_call);
+  const Instant arrived =
+    call->second.m_deadline - call->second.m_header.m_remaining;
+  aActions.emplace_back(
+    LogDecision{ "caller-left",
+                 aEvent.m_call,
+                 fmt::format("\"at\":\"{}\",\"route\":\"{}\",\"held_ms\":{}",
+                             isWaiting ? "queue" : "server",
+                             call->second.m_header.m_route,
+                             ToMilliseconds(aNow - arrived)) });
+  if (isWaiting) {
     m_calls.erase(call);
     return;
   }
--- a/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
@@ -237,6 +237,7 @@
   const CallId call = node.Request("/status/9");
   node.Feed(RelayCallerDisconnected{ call });
   EXPECT_EQ(node.TakeActions<CancelForward>().size(), 1U);
+  EXPECT_EQ(node.CountLogLines("caller-left"), 1);
   node.Answer(call, kCompleted);
   EXPECT_TRUE(node.TakeActions<RelayAnswer>().empty());
 }
--- a/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
@@ -96,6 +96,7 @@
   const CallId safe = node.PeerRequest(true);
   node.Feed(RelayCallerDisconnected{ safe });
   EXPECT_EQ(node.TakeActions<CancelRelayDispatch>().size(), 1U);
+  EXPECT_EQ(node.CountLogLines("caller-left"), 3);
 }
 
 /* As on days with scale_in: requests that run when a server leaves end while
--- a/modules/cr_relay/tests/cr_RelayTestNode.h
+++ b/modules/cr_relay/tests/cr_RelayTestNode.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cr_relay/cr_relay.h"
@@ -156,6 +158,16 @@
     return taken;
   }
 
+  /** Returns the number of collected log lines of one kind and removes all log
+      lines. */
+  long CountLogLines(std::string_view aEvent)
+  {
+    const auto lines = TakeActions<LogDecision>();
+    return std::count_if(lines.begin(), lines.end(), [&](const auto& aLine) {
+      return aLine.m_event == aEvent;
+    });
+  }
+
   RelayDecisions m_decisions;
   Instant m_now{ Seconds(100) };
 
--- a/modules/cr_relay_server/report/cr_RelayLog.cpp
+++ b/modules/cr_relay_server/report/cr_RelayLog.cpp
@@ -31,6 +31,13 @@
 
 struct RelayLog::Implementation
 {
+  struct TokenBucket
+  {
+    double m_tokens = kMaxBurstLines;
+    std::chrono::steady_clock::time_point m_lastRefill =
+      std::chrono::steady_clock::now();
+  };
+
   explicit Implementation(std::string aHost)
     : m_host(std::move(aHost))
     , m_pool(std::make_shared<spdlog::details::thread_pool>(kRingLines, 1))
@@ -44,25 +51,27 @@
     m_logger->flush_on(spdlog::level::info);
   }
 
-  bool TryConsumeToken()
+  bool TryConsumeToken(TokenBucket& aBucket)
   {
     const std::lock_guard lock(m_mutex);
     const auto now = std::chrono::steady_clock::now();
-    const std::chrono::duration<double> elapsed = now - m_lastRefill;
-    m_lastRefill = now;
-    m_tokens =
-      std::min(kMaxBurstLines, m_tokens + elapsed.count() * kMaxLinesPerSecond);
-    if (m_tokens < 1) {
+    const std::chrono::duration<double> elapsed = now - aBucket.m_lastRefill;
+    aBucket.m_lastRefill = now;
+    aBucket.m_tokens = std::min(
+      kMaxBurstLines, aBucket.m_tokens + elapsed.count() * kMaxLinesPerSecond);
+    if (aBucket.m_tokens < 1) {
       ++m_suppressed;
       return false;
     }
-    m_tokens -= 1;
+    aBucket.m_tokens -= 1;
     return true;
   }
 
-  void Write(std::string_view aEvent, const std::string& aMembers)
+  void Write(TokenBucket& aBucket,
+             std::string_view aEvent,
+             const std::string& aMembers)
   {
-    if (TryConsumeToken()) {
+    if (TryConsumeToken(aBucket)) {
       m_logger->info("{{\"at_us\":{},\"host\":\"{}\",\"event\":\"{}\"{}}}",
                      WallMicroseconds(),
                      m_host,
@@ -75,9 +84,10 @@
   std::shared_ptr<spdlog::details::thread_pool> m_pool;
   std::shared_ptr<spdlog::async_logger> m_logger;
   mutable std::mutex m_mutex;
-  double m_tokens = kMaxBurstLines;
-  std::chrono::steady_clock::time_point m_lastRefill =
-    std::chrono::steady_clock::now();
+  TokenBucket m_requestLines;
+  /* Separate, so that lines about requests cannot displace lines about the
+     state of the node. */
+  TokenBucket m_nodeLines;
   std::uint64_t m_suppressed = 0;
 };
 
@@ -91,8 +101,10 @@
 void
 RelayLog::Write(std::string_view aEvent, std::string_view aMembers)
 {
-  m_implementation->Write(
-    aEvent, aMembers.empty() ? std::string() : fmt::format(",{}", aMembers));
+  m_implementation->Write(m_implementation->m_nodeLines,
+                          aEvent,
+                          aMembers.empty() ? std::string()
+                                           : fmt::format(",{}", aMembers));
 }
 
 void
@@ -100,7 +112,8 @@
                 std::string_view aRequest,
                 std::string_view aMembers)
 {
-  m_implementation->Write(aEvent,
+  m_implementation->Write(m_implementation->m_requestLines,
+                          aEvent,
                           fmt::format(",\"request\":{}{}{}",
                                       QuoteJson(aRequest),
                                       aMembers.empty() ? "" : ",",
--- a/modules/cr_relay_server/report/cr_RelayLog.h
+++ b/modules/cr_relay_server/report/cr_RelayLog.h
@@ -17,7 +17,8 @@
 class RelayLog
 {
 public:
-  /** Max average rate of written lines per second. */
+  /** Max average rate of written lines per second; applies separately to lines
+      about requests and to all others. */
   static constexpr std::uint32_t kMaxLinesPerSecond = 100;
 
   /** The host's name is added to each line. */
--- a/modules/cr_relay_server/server/cr_RelayMetrics.cpp
+++ b/modules/cr_relay_server/server/cr_RelayMetrics.cpp
@@ -23,8 +23,9 @@
 constexpr MetricId kReady = 14;
 constexpr MetricId kResidentBytes = 15;
 constexpr MetricId kLostLogLines = 16;
+constexpr MetricId kReadDelaySeconds = 17;
 
-constexpr std::array<MetricFamily, 17> kFamilies = { {
+constexpr std::array<MetricFamily, 18> kFamilies = { {
   { "corianderrack_relay_requests_total",
     "Requests that arrived",
     MetricKind::Counter },
@@ -74,6 +75,9 @@
   { "corianderrack_relay_lost_log_lines",
     "Log lines that were not written",
     MetricKind::Gauge },
+  { "corianderrack_relay_read_delay_seconds",
+    "Time until the process reads from a readable descriptor",
+    MetricKind::Histogram },
 } };
 
 std::string_view
@@ -148,6 +152,12 @@
                 MetricLabel{ "result", StoreResultLabel(aAnswer) } });
 }
 
+void
+RelayMetrics::ObserveReadDelay(Duration aDelay)
+{
+  m_registry.Observe(kReadDelaySeconds, {}, aDelay);
+}
+
 std::string
 RelayMetrics::Write(const RelayStatus& aStatus,
                     std::uint64_t aLostLogLines) const
--- a/modules/cr_relay_server/server/cr_RelayMetrics.h
+++ b/modules/cr_relay_server/server/cr_RelayMetrics.h
@@ -36,6 +36,10 @@
   /** Counts an answer of the platform's store. */
   void CountStore(const StoreRequest& aRequest, const StoreAnswer& aAnswer);
 
+  /** Records how late the process reads from a readable descriptor.
+      @see EventLoopProbe */
+  void ObserveReadDelay(Duration aDelay);
+
   //==========================================================================
   /** Returns all metrics in the Prometheus text exposition format. */
   std::string Write(const RelayStatus& aStatus,
--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -42,6 +42,9 @@
    little processor time then. */
 constexpr Duration kClosingReserve = Milliseconds(900);
 constexpr Duration kShutdownPoll = Milliseconds(50);
+constexpr Duration kReadDelayInterval = Milliseconds(100);
+/* Longer read delays are logged. */
+constexpr Duration kLoggedReadDelay = Milliseconds(100);
 
 HttpClientSettings
 ClientSettings(Duration aIdleLimit, Duration aConnectTimeout)
@@ -74,6 +77,7 @@
   , m_decisions(m_settings.m_relay)
   , m_log(m_settings.m_relay.m_host)
   , m_threads(1)
+  , m_readDelayProbe(m_threads)
   , m_peerClient(m_threads, ClientSettings(kPeerIdleLimit, kPeerConnectTimeout))
   , m_serverClient(m_threads,
                    ClientSettings(kServerIdleLimit, kServerConnectTimeout))
@@ -116,7 +120,13 @@
                           m_settings.m_relay.m_hasOverloadControl));
   m_threads.Post(
     [self = shared_from_this()] { self->ProcessEvent(RelayTimerDue{}); });
-  return {};
+  return m_readDelayProbe.Start(kReadDelayInterval,
+                                [weak = weak_from_this()](Duration aDelay) {
+                                  const auto self = weak.lock();
+                                  if (self && !self->m_isClosed) {
+                                    self->OnReadDelayMeasured(aDelay);
+                                  }
+                                });
 }
 
 void
@@ -208,6 +218,12 @@
   std::string id(
     FindHeader(aRequest.m_headers, m_adapter.m_headers.m_requestId));
   m_metrics.CountRequest(aIngress);
+  if (!aResponder.IsCallerConnected()) {
+    m_metrics.CountDecision("caller-left");
+    m_log.Write("caller-left",
+                id,
+                fmt::format("\"at\":\"read\",\"from\":\"{}\"", aIngress));
+  }
   m_pendingCalls.emplace(
     call,
     PendingCall{ std::make_shared<const HttpRequest>(std::move(aRequest)),
@@ -385,6 +401,23 @@
   });
 }
 
+void
+RelayServer::Implementation::OnReadDelayMeasured(Duration aDelay)
+{
+  m_metrics.ObserveReadDelay(aDelay);
+  if (aDelay > kLoggedReadDelay) {
+    const RelayStatus status = m_decisions.Status(IoThreads::Now());
+    m_log.Write("late-read",
+                fmt::format("\"delay_ms\":{},\"pending\":{},\"running\":{},"
+                            "\"waiting\":{},\"load\":{:.2f}",
+                            ToMilliseconds(aDelay),
+                            m_pendingCalls.size(),
+                            status.m_running,
+                            status.m_waiting,
+                            status.m_gateLoad));
+  }
+}
+
 RelayServer::Implementation::PendingCall*
 RelayServer::Implementation::FindPendingCall(CallId aCall)
 {
--- a/modules/cr_relay_server/server/cr_RelayShell.h
+++ b/modules/cr_relay_server/server/cr_RelayShell.h
@@ -58,6 +58,7 @@
   void ExecuteActions(RelayActions& aActions);
   void OnPeerGeneration(Generation aGeneration, const Endpoint& aPeer);
   void ScheduleTimer();
+  void OnReadDelayMeasured(Duration aDelay);
 
   void Execute(const ForwardRequest& aAction);
   void Execute(const CancelForward& aAction);
@@ -103,6 +104,7 @@
   Instant m_timerDue = Instant::max();
   TimerHandle m_timer;
   IoThreads m_threads;
+  EventLoopProbe m_readDelayProbe;
   HttpClient m_peerClient;
   HttpClient m_serverClient;
   HttpClient m_storeClient;
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -373,13 +373,15 @@
 RelayServer::Implementation::Execute(const LogDecision& aAction)
 {
   m_metrics.CountDecision(aAction.m_event);
-  const PendingCall* pending =
-    aAction.m_call ? FindPendingCall(*aAction.m_call) : nullptr;
-  if (pending != nullptr) {
-    m_log.Write(aAction.m_event, pending->m_id, aAction.m_members);
-  } else {
+  if (!aAction.m_call) {
     m_log.Write(aAction.m_event, aAction.m_members);
+    return;
   }
+  // The identifier is gone if the caller has disconnected.
+  const PendingCall* pending = FindPendingCall(*aAction.m_call);
+  m_log.Write(aAction.m_event,
+              pending != nullptr ? std::string_view(pending->m_id) : "",
+              aAction.m_members);
 }
 
 }
--- a/modules/cr_transport/cr_transport.h
+++ b/modules/cr_transport/cr_transport.h
@@ -11,4 +11,5 @@
 #include "cr_transport/http/cr_HttpServer.h"
 #include "cr_transport/http/cr_StoreConnection.h"
 #include "cr_transport/io/cr_Cancellation.h"
+#include "cr_transport/io/cr_EventLoopProbe.h"
 #include "cr_transport/io/cr_IoThreads.h"
--- a/modules/cr_transport/http/cr_HttpServer.cpp
+++ b/modules/cr_transport/http/cr_HttpServer.cpp
@@ -185,6 +185,15 @@
                    });
   }
 
+  bool IsCallerConnected()
+  {
+    char byte = 0;
+    beast::error_code error;
+    m_stream.socket().receive(
+      asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return !error || error == asio::error::would_block;
+  }
+
 private:
   class Request;
 
@@ -439,6 +448,11 @@
     m_session->SetDisconnectCallback(m_sequence, std::move(aOnDisconnect));
   }
 
+  bool IsCallerConnected() const override
+  {
+    return m_session->IsCallerConnected();
+  }
+
 private:
   std::shared_ptr<Session> m_session;
   std::uint64_t m_sequence;
--- a/modules/cr_transport/http/cr_HttpServer.h
+++ b/modules/cr_transport/http/cr_HttpServer.h
@@ -39,6 +39,7 @@
     virtual ~Target() = default;
     virtual void Send(HttpResponse aResponse) = 0;
     virtual void NotifyOnDisconnect(std::function<void()> aOnDisconnect) = 0;
+    virtual bool IsCallerConnected() const = 0;
   };
 
   /** Wraps the connection's target for the request. */
@@ -60,6 +61,11 @@
     m_target->NotifyOnDisconnect(std::move(aOnDisconnect));
   }
 
+  /** Returns false if the caller has closed its connection, even if the
+      callback of NotifyOnDisconnect() has not run yet. Must be called in the
+      handler, or on the I/O thread of a server that has only one. */
+  bool IsCallerConnected() const { return m_target->IsCallerConnected(); }
+
 private:
   std::shared_ptr<Target> m_target;
 };
