--- a/modules/cr_relay_server/tests/cr_RelayFleet.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.cpp
@@ -5,6 +5,8 @@
 #include <sstream>
 #include <thread>
 
+#include <boost/asio/write.hpp>
+
 namespace cr {
 
 namespace {
@@ -36,11 +38,19 @@
   return configuration;
 }
 
-/* Parses the test's announcement: service, sequence, and 1 when leaving. */
+/* Parses the test's announcement: service, sequence, and 1 when leaving. Blocks
+   the node's I/O thread if the text is "block" and a time in milliseconds. */
 Expected<ControlMessage>
 ReadTestControl(const HttpRequest& aRequest)
 {
   std::istringstream text(aRequest.m_body);
+  std::string command;
+  std::int64_t milliseconds = 0;
+  if (text >> command >> milliseconds && command == "block") {
+    std::this_thread::sleep_for(Milliseconds(milliseconds));
+    return Failure(ErrorCode::Malformed, "not an announcement");
+  }
+  text = std::istringstream(aRequest.m_body);
   ServerAnnouncement announcement;
   announcement.m_id = "server";
   announcement.m_slots = 8;
@@ -166,6 +176,34 @@
   return SendTo(aHost, kControlPort, std::move(request)).m_status;
 }
 
+std::future<void>
+RelayFleet::BlockNode(std::size_t aHost, Duration aTime)
+{
+  HttpRequest request;
+  request.m_method = "PUT";
+  request.m_body = "block " + std::to_string(ToMilliseconds(aTime));
+  auto isUnblocked = std::async(
+    std::launch::async, [=, this] { SendTo(aHost, kControlPort, request); });
+  // The node reads the message within this time.
+  std::this_thread::sleep_for(Milliseconds(100));
+  return isUnblocked;
+}
+
+boost::asio::ip::tcp::socket
+RelayFleet::SendOnSocket(std::size_t aHost, const std::string& aTarget)
+{
+  namespace asio = boost::asio;
+  asio::ip::tcp::socket socket(m_socketContext);
+  socket.connect(
+    { asio::ip::make_address(At(aHost).m_address), kCustomerPort });
+  asio::write(socket,
+              asio::buffer("GET " + aTarget +
+                           " HTTP/1.1\r\nHost: shop\r\nCr-Request: " +
+                           std::to_string(++m_requests) +
+                           "\r\nCr-Remaining-Ms: 3000\r\n\r\n"));
+  return socket;
+}
+
 HttpResponse
 RelayFleet::Send(std::size_t aHost,
                  const std::string& aTarget,
--- a/modules/cr_relay_server/tests/cr_RelayFleet.h
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.h
@@ -1,10 +1,14 @@
 #pragma once
 
 #include <atomic>
+#include <future>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
 #include "cr_relay_server/cr_relay_server.h"
 #include "platform_stand_in/platform_stand_in.h"
 
@@ -54,6 +58,15 @@
                       std::uint16_t aPort,
                       HttpRequest aRequest);
 
+  /** Blocks the I/O thread of a host's node for the time. Returns once it is
+      blocked; the future is ready when it runs again. */
+  std::future<void> BlockNode(std::size_t aHost, Duration aTime);
+
+  /** Writes a customer's request to a new connection and returns the
+      connection. */
+  boost::asio::ip::tcp::socket SendOnSocket(std::size_t aHost,
+                                            const std::string& aTarget);
+
   Host& At(std::size_t aHost) { return *m_hosts.at(aHost); }
 
   static constexpr std::uint16_t kCustomerPort = 27400;
@@ -71,6 +84,7 @@
   RelayProtocolAdapter MakeAdapter() const;
 
   HttpClient m_client{ m_threads, {} };
+  boost::asio::io_context m_socketContext;
   Endpoint m_platformAddress;
   std::vector<std::unique_ptr<Host>> m_hosts;
   std::atomic<int> m_requests{ 0 };
--- a/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
+++ b/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
@@ -290,6 +290,51 @@
   EXPECT_EQ(server.RequestsInProgress(), 0U);
 }
 
+/* Incident GONE: a busy thread accepted one connection per round of its event
+   loop, so requests on new connections waited for seconds. */
+TEST(HttpPassThrough, BusyThreadAcceptsWaitingConnectionsTogether)
+{
+  constexpr int tasks = 40;
+  constexpr int callers = 20;
+  constexpr Duration taskTime = Milliseconds(2);
+  // A connection needs one round to be accepted and some more to be read.
+  constexpr Duration limit = tasks * taskTime * callers / 2;
+  IoThreads threads(1);
+  std::atomic<int> requests{ 0 };
+  HttpServer server(
+    threads, {}, [&](const HttpRequest& /*aRequest*/, const auto& aResponder) {
+      ++requests;
+      aResponder.Send(MakeTextResponse(kHttpOk, ""));
+    });
+  const Endpoint address = server.Listen({ "127.0.0.1", 0 }).value();
+  std::atomic<bool> isStopped{ false };
+  const std::function<void()> task = [&] {
+    std::this_thread::sleep_for(taskTime);
+    if (!isStopped) {
+      threads.Post(task);
+    }
+  };
+  for (int number = 0; number < tasks; ++number) {
+    threads.Post(task);
+  }
+  const Instant start = IoThreads::Now();
+  boost::asio::io_context context;
+  std::vector<tcp::socket> sockets;
+  for (int caller = 0; caller < callers; ++caller) {
+    sockets.emplace_back(context).connect(
+      { boost::asio::ip::make_address(address.m_address), address.m_port });
+    boost::asio::write(
+      sockets.back(),
+      boost::asio::buffer(std::string_view("GET / HTTP/1.1\r\n\r\n")));
+  }
+  while (requests < callers && IoThreads::Now() - start < 4 * limit) {
+    std::this_thread::sleep_for(Milliseconds(5));
+  }
+  EXPECT_LT(IoThreads::Now() - start, limit);
+  isStopped = true;
+  threads.Stop();
+}
+
 TEST(HttpPassThrough, NewLimitsApplyToLaterRequests)
 {
   Server server({});
