Accept all waiting connections at once, not one per round of the event loop

Cause: an asynchronous accept completes once per round of the event loop. Under load a round runs some hundred handlers, so a node accepted some ten connections a second. Requests on new connections, from customers and from other nodes, waited in the accept queue for seconds, while open connections were read within 100 ms (late-read shows none above that).

Ruled out: late timers, late reads of open connections (EventLoopProbe). The load of a node's processor is not part of the reported load; next.

At most 32 connections are accepted together, so that a flood of new ones does not delay the open ones.

--- a/modules/cr_transport/http/cr_HttpServer.cpp
+++ b/modules/cr_transport/http/cr_HttpServer.cpp
@@ -22,6 +22,8 @@
 using tcp = boost::asio::ip::tcp;
 
 constexpr unsigned kHttpVersion = 11;
+/* Keeps a flood of new connections from delaying the open ones. */
+constexpr int kMaxAcceptedTogether = 32;
 constexpr std::size_t kDiscardChunkBytes = 65536;
 constexpr std::size_t kDiscardLimitBytes = 16 * 1024 * 1024;
 
@@ -110,6 +112,7 @@
 
   Expected<Endpoint> Listen(const Endpoint& aEndpoint);
   void Accept();
+  void AcceptWaiting();
   void StopAccepting();
   void Close();
   void Add(const std::shared_ptr<Session>& aSession);
@@ -522,6 +525,9 @@
   if (!error) {
     m_acceptor.listen(asio::socket_base::max_listen_connections, error);
   }
+  if (!error) {
+    m_acceptor.non_blocking(true, error);
+  }
   if (error) {
     return Failure(ErrorCode::Unavailable,
                    "cannot listen on " + ToText(aEndpoint) + ": " +
@@ -544,11 +550,29 @@
       }
       if (!aError) {
         self->Add(std::make_shared<Session>(std::move(aSocket), self));
+        self->AcceptWaiting();
       }
       self->Accept();
     });
 }
 
+/* An asynchronous accept takes one connection per round of the event loop, and
+   a round takes long when many connections are active. */
+void
+HttpServer::Implementation::AcceptWaiting()
+{
+  for (int count = 1; count < kMaxAcceptedTogether; ++count) {
+    beast::error_code error;
+    tcp::socket socket(asio::make_strand(m_context));
+    m_acceptor.accept(socket, error);
+    if (error) {
+      // An error other than would_block recurs in the next asynchronous accept.
+      return;
+    }
+    Add(std::make_shared<Session>(std::move(socket), shared_from_this()));
+  }
+}
+
 void
 HttpServer::Implementation::Add(const std::shared_ptr<Session>& aSession)
 {
