A cancelled connection attempt does not mark the server absent

Cause: a request whose caller leaves while the node connects to the server ends as unreachable, since nothing was sent. Six in a row marked the server absent, closed the gate and refused all that waited until a health check passed. Class: the node's own cancellation taken as evidence about somebody else.

CallersThatLeaveWhileConnectingDoNotMarkTheServerAbsent failed before (no dispatch after ten such requests) and passes.

A result that says nothing leaves the count as it is. The entry is not affected: it forgets a request when its caller leaves.

--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -173,15 +173,18 @@
                                m_queue.Running(),
                                !call.m_isCallerDisconnected) });
   }
+  // A cancelled connection attempt says nothing about the server.
+  const bool isCancelled = call.m_isCallerDisconnected &&
+                           aEvent.m_result == DispatchResult::Unreachable;
   if (call.m_isCallerDisconnected) {
     m_calls.erase(found);
   } else {
     Answer(aEvent.m_call, ReportOf(aEvent.m_result), aNow, aActions);
   }
   if (aEvent.m_result == DispatchResult::WrongServer ||
-      aEvent.m_result == DispatchResult::Unreachable) {
+      (aEvent.m_result == DispatchResult::Unreachable && !isCancelled)) {
     OnUnreachable(aEvent.m_result, aNow, aActions);
-  } else {
+  } else if (aEvent.m_result != DispatchResult::CallerLeft && !isCancelled) {
     m_consecutiveUnreachable = 0;
   }
   GateDecisions decisions;
--- a/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
@@ -100,6 +100,21 @@
   EXPECT_EQ(node.CountLogLines("caller-left"), 3);
 }
 
+/* Incident SHORT: requests that were cancelled while they were connecting made
+   a healthy server count as absent. */
+TEST(RelayGateFlow, CallersThatLeaveWhileConnectingDoNotMarkTheServerAbsent)
+{
+  Gate node(25);
+  for (int request = 0; request < 10; ++request) {
+    const CallId call = node.PeerRequest(true);
+    node.Feed(RelayCallerDisconnected{ call });
+    node.Feed(DispatchEnded{ call, DispatchResult::Unreachable });
+  }
+  node.TakeActions<DispatchRequest>();
+  node.PeerRequest(true);
+  EXPECT_EQ(node.TakeActions<DispatchRequest>().size(), 1U);
+}
+
 /* As on days with scale_in: requests that run when a server leaves end while
    the limit of the queue is 0, where no load can be computed. */
 TEST(RelayGateFlow, ClosedGateReportsNoLoad)
