Bytes without end that are no answer end with an error and bounded memory

Callers would see: a node killed for its memory, with all requests it held. A server in trouble may send bytes without end, in a head or a body.

Cause, found by the new tests: Beast's limits hold for header and body only. The limit of a body held for each answer, not for all of them together (64 MB each, on machines of 160 MB). A first informational answer (1xx) was taken for the final one.

Fix: receive buffers of clients and servers are bounded; bodies in receipt draw on a budget of the client (HttpClientSettings::m_heldBodyBytes; a relay gives its three clients together as much as it gives request bodies); informational answers are skipped like those to earlier requests, at most three.

HttpFault.EndlessChunkExtensionOrTrailerGetsClientError failed before the bound of the server's buffer (no answer until the timeout).

Weighed: reading answers in pieces (two more operations an answer); a body type that reserves as it receives costs none. An answer larger than a third of the memory for bodies now fails, as one over 64 MB did.

--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -24,6 +24,8 @@
 constexpr Duration kServerIdleLimit = Seconds(5);
 constexpr Duration kServerConnectTimeout = Milliseconds(300);
 constexpr Duration kStoreIdleLimit = Seconds(20);
+/* HTTP clients that share the memory for bodies of responses. */
+constexpr std::uint64_t kClients = 3;
 constexpr Duration kStoreConnectTimeout = Seconds(1);
 /* Customers' idle connections stay open this much longer than configured. */
 constexpr Duration kIdleGrace = Seconds(1);
@@ -48,13 +50,16 @@
 constexpr Duration kLoggedReadDelay = Milliseconds(100);
 
 HttpClientSettings
-ClientSettings(Duration aIdleLimit, Duration aConnectTimeout)
+ClientSettings(Duration aIdleLimit,
+               Duration aConnectTimeout,
+               std::uint64_t aHeldBodyBytes)
 {
   HttpClientSettings settings;
   settings.m_maxIdlePerEndpoint = kIdleConnectionsPerEndpoint;
   settings.m_idleLimit = aIdleLimit;
   settings.m_connectTimeout = aConnectTimeout;
-  settings.m_bodyBytes = std::uint64_t{ 64 } * 1024 * 1024;
+  settings.m_heldBodyBytes = aHeldBodyBytes;
+  settings.m_bodyBytes = aHeldBodyBytes;
   return settings;
 }
 
@@ -79,11 +84,18 @@
   , m_log(m_settings.m_relay.m_host)
   , m_threads(1)
   , m_readDelayProbe(m_threads)
-  , m_peerClient(m_threads, ClientSettings(kPeerIdleLimit, kPeerConnectTimeout))
+  , m_peerClient(m_threads,
+                 ClientSettings(kPeerIdleLimit,
+                                kPeerConnectTimeout,
+                                m_settings.m_heldBodyBytes / kClients))
   , m_serverClient(m_threads,
-                   ClientSettings(kServerIdleLimit, kServerConnectTimeout))
+                   ClientSettings(kServerIdleLimit,
+                                  kServerConnectTimeout,
+                                  m_settings.m_heldBodyBytes / kClients))
   , m_storeClient(m_threads,
-                  ClientSettings(kStoreIdleLimit, kStoreConnectTimeout))
+                  ClientSettings(kStoreIdleLimit,
+                                 kStoreConnectTimeout,
+                                 m_settings.m_heldBodyBytes / kClients))
 {
 }
 
--- a/modules/cr_transport/http/cr_HttpClient.cpp
+++ b/modules/cr_transport/http/cr_HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "cr_transport/http/cr_HttpClient.h"
 
 #include <algorithm>
+#include <atomic>
 #include <future>
 #include <map>
 #include <mutex>
@@ -26,6 +27,8 @@
 using tcp = boost::asio::ip::tcp;
 
 constexpr unsigned kHttpVersion = 11;
+/* Lower status codes are informational. */
+constexpr unsigned kFirstFinalStatus = 200;
 
 http::request<http::string_body>
 ToMessage(HttpRequest&& aRequest, const Endpoint& aEndpoint)
@@ -48,8 +51,118 @@
   return message;
 }
 
+/* Bytes of response bodies in receipt over all exchanges of a client. Thread
+   safe. */
+class BodyBudget
+{
+public:
+  explicit BodyBudget(std::uint64_t aLimit)
+    : m_limit(aLimit)
+  {
+  }
+
+  bool TryReserve(std::uint64_t aBytes)
+  {
+    if (m_reserved.fetch_add(aBytes) + aBytes <= m_limit) {
+      return true;
+    }
+    Release(aBytes);
+    return false;
+  }
+
+  void Release(std::uint64_t aBytes) { m_reserved -= aBytes; }
+
+private:
+  const std::uint64_t m_limit;
+  std::atomic<std::uint64_t> m_reserved{ 0 };
+};
+
+/* A string body whose bytes are reserved from a budget while it is received. */
+struct BudgetedBody
+{
+  class value_type
+  {
+  public:
+    value_type() = default;
+    explicit value_type(std::shared_ptr<BodyBudget> aBudget)
+      : m_budget(std::move(aBudget))
+    {
+    }
+    value_type(value_type&& aOther) noexcept
+      : m_text(std::move(aOther.m_text))
+      , m_budget(std::move(aOther.m_budget))
+      , m_reserved(std::exchange(aOther.m_reserved, 0))
+    {
+    }
+    value_type(const value_type&) = delete;
+    value_type& operator=(const value_type&) = delete;
+    ~value_type()
+    {
+      if (m_budget) {
+        m_budget->Release(m_reserved);
+      }
+    }
+
+    bool TryAppend(std::string_view aBytes)
+    {
+      if (!m_budget->TryReserve(aBytes.size())) {
+        return false;
+      }
+      m_reserved += aBytes.size();
+      m_text += aBytes;
+      return true;
+    }
+
+    std::string&& TakeText() { return std::move(m_text); }
+
+  private:
+    std::string m_text;
+    std::shared_ptr<BodyBudget> m_budget;
+    std::uint64_t m_reserved = 0;
+  };
+
+  /* Interface that Beast requires of a body's reader. */
+  class reader
+  {
+  public:
+    template<bool IsRequest, typename Fields>
+    reader(http::header<IsRequest, Fields>& /*aHeader*/, value_type& aBody)
+      : m_body(aBody)
+    {
+    }
+
+    void init(const boost::optional<std::uint64_t>& /*aLength*/,
+              beast::error_code& aError)
+    {
+      aError = {};
+    }
+
+    template<typename Buffers>
+    std::size_t put(const Buffers& aBuffers, beast::error_code& aError)
+    {
+      aError = {};
+      std::size_t size = 0;
+      for (const asio::const_buffer buffer :
+           beast::buffers_range_ref(aBuffers)) {
+        if (!m_body.TryAppend(
+              { static_cast<const char*>(buffer.data()), buffer.size() })) {
+          aError = make_error_code(boost::system::errc::not_enough_memory);
+          return size;
+        }
+        size += buffer.size();
+      }
+      return size;
+    }
+
+    void finish(beast::error_code& aError) { aError = {}; }
+
+  private:
+    value_type& m_body;
+  };
+};
+
 HttpResponse
-ToResponse(http::response<http::string_body>&& aMessage)
+ToResponse(http::response<BudgetedBody>&& aMessage)
 {
   HttpResponse response;
   response.m_status = aMessage.result_int();
@@ -57,13 +170,16 @@
     response.m_headers.push_back(
       { std::string(field.name_string()), std::string(field.value()) });
   }
-  response.m_body = std::move(aMessage.body());
+  response.m_body = aMessage.body().TakeText();
   return response;
 }
 
+/* Max bytes received ahead of the parser. Bounds what belongs to neither header
+   nor body, such as chunk extensions and trailers. */
+constexpr std::size_t kMaxBufferBytes = 128 * 1024;
 constexpr int kKeepaliveProbes = 2;
-/* Max responses to earlier requests that are discarded before the connection is
-   closed. */
+/* Max responses, informational ones or those to earlier requests, that are
+   discarded before the connection is closed. */
 constexpr int kMaxDroppedResponses = 3;
 
 /* Makes the kernel break a connection whose other host stops acknowledging. */
@@ -88,6 +204,7 @@
 {
   explicit Connection(asio::io_context& aContext)
     : m_stream(asio::make_strand(aContext))
+    , m_buffer(kMaxBufferBytes)
   {
   }
 
@@ -122,6 +239,7 @@
   Implementation(IoThreads& aThreads, HttpClientSettings aSettings)
     : m_context(aThreads.Context())
     , m_settings(aSettings)
+    , m_bodyBudget(std::make_shared<BodyBudget>(aSettings.m_heldBodyBytes))
   {
   }
 
@@ -132,6 +250,7 @@
 
   asio::io_context& m_context;
   const HttpClientSettings m_settings;
+  const std::shared_ptr<BodyBudget> m_bodyBudget;
 
 private:
   std::mutex m_mutex;
@@ -186,7 +305,7 @@
   }
 
 private:
-  using Parser = http::response_parser<http::string_body>;
+  using Parser = http::response_parser<BudgetedBody>;
 
   void Connect()
   {
@@ -239,7 +358,8 @@
 
   void ReadAnswer()
   {
-    m_parser.emplace();
+    m_parser.emplace(std::piecewise_construct,
+                     std::forward_as_tuple(m_client->m_bodyBudget));
     m_parser->body_limit(m_client->m_settings.m_bodyBytes);
     m_parser->skip(m_message.method() == http::verb::head);
     http::async_read(
@@ -286,10 +406,14 @@
 
   bool IsOwnResponse() const
   {
+    const auto& answer = m_parser->get();
+    // The final response follows an informational one.
+    if (answer.result_int() < kFirstFinalStatus) {
+      return false;
+    }
     if (m_options.m_echoedHeader.empty()) {
       return true;
     }
-    const auto& answer = m_parser->get();
     const auto echoed = answer.find(m_options.m_echoedHeader);
     if (echoed == answer.end()) {
       return http::to_status_class(answer.result()) !=
--- a/modules/cr_transport/http/cr_HttpClient.h
+++ b/modules/cr_transport/http/cr_HttpClient.h
@@ -48,6 +48,9 @@
   Duration m_unackedLimit = Seconds(1);
   Duration m_connectTimeout = Seconds(1);
   std::uint64_t m_bodyBytes = 4 * 1024 * 1024;
+  /** Max bytes of response bodies in receipt over all exchanges; an exchange
+      that exceeds it fails. */
+  std::uint64_t m_heldBodyBytes = 256 * 1024 * 1024;
 };
 
 /** Options of one request. */
--- a/modules/cr_transport/http/cr_HttpServer.cpp
+++ b/modules/cr_transport/http/cr_HttpServer.cpp
@@ -24,6 +24,9 @@
 constexpr unsigned kHttpVersion = 11;
 /* Keeps a flood of new connections from delaying the open ones. */
 constexpr int kMaxAcceptedTogether = 32;
+/* Max bytes received ahead of the parser, besides a header. Bounds what belongs
+   to neither header nor body, such as chunk extensions and trailers. */
+constexpr std::size_t kMaxBufferBytes = 128 * 1024;
 constexpr std::size_t kDiscardChunkBytes = 65536;
 constexpr std::size_t kDiscardLimitBytes = 16 * 1024 * 1024;
 
@@ -257,6 +260,7 @@
     m_parser.emplace();
     m_parser->header_limit(m_limits.m_headerBytes);
     m_parser->body_limit(m_limits.m_bodyBytes);
+    m_buffer.max_size(m_limits.m_headerBytes + kMaxBufferBytes);
     m_stream.expires_after(m_limits.m_header);
     http::async_read_header(
       m_stream,
--- a/modules/cr_transport/tests/cr_HttpFaultTest.cpp
+++ b/modules/cr_transport/tests/cr_HttpFaultTest.cpp
@@ -143,6 +143,22 @@
     "HTTP/1.1 431");
 }
 
+/* As endless answers of a server: the buffer of a request must be bounded. */
+TEST_F(HttpFault, EndlessChunkExtensionOrTrailerGetsClientError)
+{
+  const std::string header =
+    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  constexpr std::size_t endlessBytes = std::size_t{ 8 } * 1024 * 1024;
+  const std::string extension = header + "4;" + std::string(endlessBytes, 'x');
+  std::string trailer = header + "0\r\n";
+  while (trailer.size() < endlessBytes) {
+    trailer += "X: x\r\n";
+  }
+  for (const std::string& request : { extension, trailer }) {
+    EXPECT_EQ(Exchange(request).substr(0, 12), "HTTP/1.1 431");
+  }
+}
+
 TEST_F(HttpFault, SlowRequestTimesOut)
 {
   EXPECT_EQ(Exchange("POST / HTTP/1.1\r\nContent-Le"), "");
