A caller that leaves after sending more bytes is noticed

Callers would see: work that goes on after they have left, until its end.

Cause: bytes of a next request behind the one in progress ended the watch for the close of the connection, as they hide its end.

Fix: the server reads up to 16 KB ahead, which it needs for the next request anyway, and goes on watching. Beyond that it stops, as before.

Evidence: CallerThatLeavesAfterSendingMoreBytesIsNoticed failed before (no disconnect within a second) and passes.

--- a/modules/cr_transport/http/cr_HttpServer.cpp
+++ b/modules/cr_transport/http/cr_HttpServer.cpp
@@ -27,6 +27,7 @@
 /* Max bytes received ahead of the parser, besides a header. Bounds what belongs
    to neither header nor body, such as chunk extensions and trailers. */
 constexpr std::size_t kMaxBufferBytes = 128 * 1024;
+constexpr std::size_t kMaxReadAheadBytes = 16 * 1024;
 constexpr std::size_t kDiscardChunkBytes = 65536;
 constexpr std::size_t kDiscardLimitBytes = 16 * 1024 * 1024;
 
@@ -323,17 +324,14 @@
     if (aSequence != m_sequence || !m_awaitsResponse) {
       return;
     }
-    char byte = 0;
-    beast::error_code peekError = aError;
-    std::size_t size = 0;
+    beast::error_code readError = aError;
     if (!aError) {
-      size = m_stream.socket().receive(
-        asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
+      ReadAhead(readError);
     }
-    if (size > 0) {
+    if (readError == asio::error::no_buffer_space) {
       return;
     }
-    if (peekError == asio::error::would_block) {
+    if (!readError || readError == asio::error::would_block) {
       WaitForDisconnect(aSequence);
       return;
     }
@@ -345,6 +343,19 @@
     CloseSocket();
   }
 
+  /* Reads bytes of the next request, as they would hide the end of the
+     connection behind them. Fails with no_buffer_space if the buffer is full.
+   */
+  void ReadAhead(beast::error_code& aError)
+  {
+    if (m_buffer.size() >= kMaxReadAheadBytes) {
+      aError = asio::error::no_buffer_space;
+      return;
+    }
+    m_buffer.commit(m_stream.socket().read_some(
+      m_buffer.prepare(kMaxReadAheadBytes - m_buffer.size()), aError));
+  }
+
   void WriteAnswer(std::uint64_t aSequence, HttpResponse&& aResponse)
   {
     if (aSequence != m_sequence || !m_awaitsResponse) {
--- a/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
+++ b/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
@@ -290,6 +290,38 @@
   EXPECT_EQ(server.RequestsInProgress(), 0U);
 }
 
+/* Same class as incident GONE: bytes after the request hid that the caller had
+   left. */
+TEST(HttpPassThrough, CallerThatLeavesAfterSendingMoreBytesIsNoticed)
+{
+  IoThreads threads(1);
+  std::atomic<int> disconnects{ 0 };
+  HttpServer server(
+    threads,
+    {},
+    [&](const HttpRequest& /*aRequest*/, const HttpResponder& aResponder) {
+      aResponder.NotifyOnDisconnect([&] { ++disconnects; });
+    });
+  const Endpoint address = server.Listen({ "127.0.0.1", 0 }).value();
+  boost::asio::io_context context;
+  {
+    tcp::socket socket(context);
+    socket.connect(
+      { boost::asio::ip::make_address(address.m_address), address.m_port });
+    boost::asio::write(
+      socket, boost::asio::buffer(std::string_view("GET / HTTP/1.1\r\n\r\n")));
+    std::this_thread::sleep_for(Milliseconds(50));
+    boost::asio::write(
+      socket, boost::asio::buffer(std::string_view("GET /next HTTP/1.1\r\n")));
+    std::this_thread::sleep_for(Milliseconds(50));
+    EXPECT_EQ(disconnects, 0);
+  }
+  for (int wait = 0; wait < 100 && disconnects == 0; ++wait) {
+    std::this_thread::sleep_for(Milliseconds(10));
+  }
+  EXPECT_EQ(disconnects, 1);
+}
+
 /* Incident GONE: a busy thread accepted one connection per round of its event
    loop, so requests on new connections waited for seconds. */
 TEST(HttpPassThrough, BusyThreadAcceptsWaitingConnectionsTogether)
