The incident's tests count rounds and events instead of time

They would depend on the machine's load: one compared a time with a limit, the other blocked a node for a fixed time.

--- a/modules/cr_relay_server/tests/cr_RelayFleet.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.cpp
@@ -38,19 +38,22 @@
   return configuration;
 }
 
-/* Parses the test's announcement: service, sequence, and 1 when leaving. Blocks
-   the node's I/O thread if the text is "block" and a time in milliseconds. */
+/* Held while a node is to be blocked. */
+std::mutex blockMutex;
+std::atomic<bool> isNodeBlocked{ false };
+
+/* Parses the test's announcement: service, sequence, and 1 when leaving. The
+   text "block" blocks the node's I/O thread as long as a NodeBlock exists. */
 Expected<ControlMessage>
 ReadTestControl(const HttpRequest& aRequest)
 {
-  std::istringstream text(aRequest.m_body);
-  std::string command;
-  std::int64_t milliseconds = 0;
-  if (text >> command >> milliseconds && command == "block") {
-    std::this_thread::sleep_for(Milliseconds(milliseconds));
+  if (aRequest.m_body == "block") {
+    isNodeBlocked = true;
+    const std::lock_guard lock(blockMutex);
+    isNodeBlocked = false;
     return Failure(ErrorCode::Malformed, "not an announcement");
   }
-  text = std::istringstream(aRequest.m_body);
+  std::istringstream text(aRequest.m_body);
   ServerAnnouncement announcement;
   announcement.m_id = "server";
   announcement.m_slots = 8;
@@ -176,17 +179,33 @@
   return SendTo(aHost, kControlPort, std::move(request)).m_status;
 }
 
-std::future<void>
-RelayFleet::BlockNode(std::size_t aHost, Duration aTime)
+RelayFleet::NodeBlock
+RelayFleet::BlockNode(std::size_t aHost)
 {
+  NodeBlock block;
+  block.m_lock = std::unique_lock(blockMutex);
   HttpRequest request;
   request.m_method = "PUT";
-  request.m_body = "block " + std::to_string(ToMilliseconds(aTime));
-  auto isUnblocked = std::async(
-    std::launch::async, [=, this] { SendTo(aHost, kControlPort, request); });
-  // The node reads the message within this time.
-  std::this_thread::sleep_for(Milliseconds(100));
-  return isUnblocked;
+  request.m_body = "block";
+  block.m_unblocked = std::async(std::launch::async, [this, aHost, request] {
+    SendTo(aHost, kControlPort, request);
+  });
+  while (!isNodeBlocked) {
+    std::this_thread::yield();
+  }
+  return block;
+}
+
+int
+RelayFleet::CountDecisions(std::size_t aHost, const std::string& aEvent)
+{
+  const std::string metrics =
+    SendTo(aHost, kOperatorPort, { "GET", "/metrics", {}, "" }).m_body;
+  const std::string name = "decisions_total{event=\"" + aEvent + "\"} ";
+  const std::size_t place = metrics.find(name);
+  return place == std::string::npos
+           ? 0
+           : std::stoi(metrics.substr(place + name.size()));
 }
 
 boost::asio::ip::tcp::socket
--- a/modules/cr_relay_server/tests/cr_RelayFleet.h
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <future>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -28,6 +29,13 @@
     std::atomic<Duration> m_responseDelay{ Duration::zero() };
   };
 
+  /** Its destruction lets the node run again and waits until it does. */
+  struct NodeBlock
+  {
+    std::future<void> m_unblocked;
+    std::unique_lock<std::mutex> m_lock;
+  };
+
   explicit RelayFleet(const std::vector<std::string>& aServices);
   ~RelayFleet();
   RelayFleet(const RelayFleet&) = delete;
@@ -58,9 +66,12 @@
                       std::uint16_t aPort,
                       HttpRequest aRequest);
 
-  /** Blocks the I/O thread of a host's node for the time. Returns once it is
-      blocked; the future is ready when it runs again. */
-  std::future<void> BlockNode(std::size_t aHost, Duration aTime);
+  /** Blocks the I/O thread of a host's node while the result exists. At most
+      one node is blocked at a time. */
+  NodeBlock BlockNode(std::size_t aHost);
+
+  /** Returns how many decisions with the event name a host's node counted. */
+  int CountDecisions(std::size_t aHost, const std::string& aEvent);
 
   /** Writes a customer's request to a new connection and returns the
       connection. */
--- a/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
@@ -162,29 +162,39 @@
   fleet.WriteRoutes(1, { "status", "booking" });
   ASSERT_EQ(fleet.SendUntil(0, "/booking/7", kHttpOk), kHttpOk);
   ASSERT_EQ(fleet.SendUntil(0, "/status/7", kHttpOk), kHttpOk);
-  constexpr Duration blocked = Milliseconds(400);
+  constexpr int callers = 10;
   const auto requestsRun = [&] {
     return fleet.At(0).m_requestsRun + fleet.At(1).m_requestsRun;
   };
+  const auto waitForCallersLeft = [&](int aCount) {
+    int count = 0;
+    for (int wait = 0; wait < 500 && count < aCount; ++wait) {
+      std::this_thread::sleep_for(Milliseconds(10));
+      count = fleet.CountDecisions(0, "caller-left");
+    }
+  };
   const int requestsBefore = requestsRun();
-  // The entry is blocked; requests are for its own gate and for another one.
-  auto entry = fleet.BlockNode(0, blocked);
-  for (int request = 0; request < 10; ++request) {
-    fleet.SendOnSocket(0, request % 2 == 0 ? "/status/8" : "/booking/8");
+  {
+    // The requests are for the entry's own gate and for another one.
+    const auto block = fleet.BlockNode(0);
+    for (int caller = 0; caller < callers; ++caller) {
+      fleet.SendOnSocket(0, caller % 2 == 0 ? "/status/8" : "/booking/8");
+    }
   }
-  entry.get();
+  waitForCallersLeft(callers);
   EXPECT_EQ(fleet.Send(0, "/status/9").m_status, kHttpOk);
   EXPECT_EQ(fleet.Send(0, "/booking/9").m_status, kHttpOk);
   EXPECT_EQ(requestsRun(), requestsBefore + 2);
-  // The gate is blocked; the entry sees that its callers leave.
-  auto gate = fleet.BlockNode(1, blocked);
-  std::vector<boost::asio::ip::tcp::socket> callers;
-  for (int request = 0; request < 10; ++request) {
-    callers.push_back(fleet.SendOnSocket(0, "/booking/10"));
+  {
+    const auto gate = fleet.BlockNode(1);
+    std::vector<boost::asio::ip::tcp::socket> sockets;
+    for (int caller = 0; caller < callers; ++caller) {
+      sockets.push_back(fleet.SendOnSocket(0, "/booking/10"));
+    }
+    std::this_thread::sleep_for(Milliseconds(100));
+    sockets.clear();
+    waitForCallersLeft(2 * callers);
   }
-  std::this_thread::sleep_for(blocked / 4);
-  callers.clear();
-  gate.get();
   EXPECT_EQ(fleet.Send(0, "/booking/11").m_status, kHttpOk);
   EXPECT_EQ(requestsRun(), requestsBefore + 3);
 }
--- a/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
+++ b/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
@@ -328,9 +328,8 @@
 {
   constexpr int tasks = 40;
   constexpr int callers = 20;
-  constexpr Duration taskTime = Milliseconds(2);
-  // A connection needs one round to be accepted and some more to be read.
-  constexpr Duration limit = tasks * taskTime * callers / 2;
+  // Each connection needs a few rounds; accepted together, they share them.
+  constexpr int maxRounds = callers / 2;
   IoThreads threads(1);
   std::atomic<int> requests{ 0 };
   HttpServer server(
@@ -340,8 +339,10 @@
     });
   const Endpoint address = server.Listen({ "127.0.0.1", 0 }).value();
   std::atomic<bool> isStopped{ false };
+  std::atomic<int> taskRuns{ 0 };
   const std::function<void()> task = [&] {
-    std::this_thread::sleep_for(taskTime);
+    std::this_thread::sleep_for(Milliseconds(2));
+    ++taskRuns;
     if (!isStopped) {
       threads.Post(task);
     }
@@ -349,7 +350,6 @@
   for (int number = 0; number < tasks; ++number) {
     threads.Post(task);
   }
-  const Instant start = IoThreads::Now();
   boost::asio::io_context context;
   std::vector<tcp::socket> sockets;
   for (int caller = 0; caller < callers; ++caller) {
@@ -359,10 +359,12 @@
       sockets.back(),
       boost::asio::buffer(std::string_view("GET / HTTP/1.1\r\n\r\n")));
   }
-  while (requests < callers && IoThreads::Now() - start < 4 * limit) {
+  const int runsBefore = taskRuns;
+  const auto rounds = [&] { return (taskRuns - runsBefore) / tasks; };
+  while (requests < callers && rounds() < 4 * maxRounds) {
     std::this_thread::sleep_for(Milliseconds(5));
   }
-  EXPECT_LT(IoThreads::Now() - start, limit);
+  EXPECT_LT(rounds(), maxRounds);
   isStopped = true;
   threads.Stop();
 }
