--- a/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
@@ -188,6 +188,7 @@
   {
     const auto gate = fleet.BlockNode(1);
     std::vector<boost::asio::ip::tcp::socket> sockets;
+    sockets.reserve(callers);
     for (int caller = 0; caller < callers; ++caller) {
       sockets.push_back(fleet.SendOnSocket(0, "/booking/10"));
     }
--- a/modules/cr_transport/http/cr_HttpClient.cpp
+++ b/modules/cr_transport/http/cr_HttpClient.cpp
@@ -77,7 +77,9 @@
   std::atomic<std::uint64_t> m_reserved{ 0 };
 };
 
-/* A string body whose bytes are reserved from a budget while it is received. */
+/* A string body whose bytes are reserved from a budget while it is received.
+   Beast requires the names. */
+// NOLINTBEGIN(readability-identifier-naming)
 struct BudgetedBody
 {
   class value_type
@@ -121,7 +123,6 @@
     std::uint64_t m_reserved = 0;
   };
 
-  /* Interface that Beast requires of a body's reader. */
   class reader
   {
   public:
@@ -160,6 +161,7 @@
     value_type& m_body;
   };
 };
+// NOLINTEND(readability-identifier-naming)
 
 HttpResponse
 ToResponse(http::response<BudgetedBody>&& aMessage)
--- a/modules/cr_transport/tests/cr_EndlessAnswerTest.cpp
+++ b/modules/cr_transport/tests/cr_EndlessAnswerTest.cpp
@@ -104,7 +104,7 @@
     m_client = std::make_unique<HttpClient>(m_threads, settings);
   }
 
-  std::future<HttpResult> Send(const Endpoint& aEndpoint)
+  std::future<HttpResult> Send(const Endpoint& aEndpoint) const
   {
     HttpRequest request;
     request.m_headers = { { "Echo", "x" } };
@@ -179,6 +179,7 @@
   EndlessServer server("HTTP/1.1 200 OK\r\nEcho: x\r\n\r\n", "body");
   Client client;
   std::vector<std::future<HttpResult>> results;
+  results.reserve(count);
   for (int number = 0; number < count; ++number) {
     results.push_back(client.Send(server.Address()));
   }
--- a/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
+++ b/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
@@ -352,6 +352,7 @@
   }
   boost::asio::io_context context;
   std::vector<tcp::socket> sockets;
+  sockets.reserve(callers);
   for (int caller = 0; caller < callers; ++caller) {
     sockets.emplace_back(context).connect(
       { boost::asio::ip::make_address(address.m_address), address.m_port });
