Log line for the rate limit and the leaving that a backend server reports

The adapter decodes Server-Limit and Server-Leaving; the gate writes server-condition with the dispatches per second before the change. No decision depends on it yet.

--- a/modules/cr_membership/cr_membership.h
+++ b/modules/cr_membership/cr_membership.h
@@ -5,6 +5,7 @@
     output. */
 
 #include "cr_membership/announcement/cr_ServerAnnouncements.h"
+#include "cr_membership/announcement/cr_ServerCondition.h"
 #include "cr_membership/directory/cr_FleetDirectory.h"
 #include "cr_membership/rows/cr_NodeRow.h"
 #include "cr_membership/view/cr_MembershipView.h"
--- a/modules/cr_relay/event/cr_RelayEvent.h
+++ b/modules/cr_relay/event/cr_RelayEvent.h
@@ -60,6 +60,8 @@
 {
   CallId m_call{};
   DispatchResult m_result = DispatchResult::Broken;
+  /** Condition in the server's answer; empty without an answer. */
+  std::optional<ServerCondition> m_condition{};
 };
 
 /** The backend server announced its state. */
--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -72,6 +72,13 @@
   return report;
 }
 
+/* Returns the limit as a JSON value. */
+std::string
+ToText(std::optional<double> aRateLimit)
+{
+  return aRateLimit ? fmt::format("{:.1f}", *aRateLimit) : "null";
+}
+
 /* Report on a request that was not dispatched. */
 RelayReport
 NotRunReport(Reason aReason)
@@ -107,7 +114,7 @@
   m_origins.Count(aEvent.m_header.m_route, aEvent.m_originService, aNow);
   m_calls.emplace(
     aEvent.m_call,
-    Call{ aEvent.m_header, aNow + aEvent.m_header.m_remaining, {}, false });
+    Call{ aEvent.m_header, aNow + aEvent.m_header.m_remaining, {}, {}, false });
   GateDecisions decisions;
   m_queue.Offer({ aEvent.m_call,
                   aEvent.m_header.m_isChildCall,
@@ -173,6 +180,9 @@
                                m_queue.Running(),
                                !call.m_isCallerDisconnected) });
   }
+  if (aEvent.m_condition && aEvent.m_result != DispatchResult::WrongServer) {
+    OnConditionReported(call, *aEvent.m_condition, aNow, aActions);
+  }
   // A cancelled connection attempt says nothing about the server.
   const bool isCancelled = call.m_isCallerDisconnected &&
                            aEvent.m_result == DispatchResult::Unreachable;
@@ -307,6 +317,8 @@
 {
   Call& call = m_calls.at(aCall);
   call.m_dispatched = aNow;
+  call.m_server = Server().m_id;
+  ++m_conditionDispatches;
   m_shared.m_pattern.CountRun(call.m_header.m_route, aNow);
   aActions.emplace_back(DispatchRequest{ aCall,
                                          Server().m_id,
@@ -367,6 +379,34 @@
   ApplyDecisions(decisions, aNow, aActions);
 }
 
+void
+RelayGateFlow::OnConditionReported(const Call& aCall,
+                                   const ServerCondition& aCondition,
+                                   Instant aNow,
+                                   RelayActions& aActions)
+{
+  if (aCall.m_server != Server().m_id || aCondition == m_condition) {
+    return;
+  }
+  const double seconds = ToSeconds(aNow - m_conditionSince);
+  aActions.emplace_back(LogDecision{
+    "server-condition",
+    std::nullopt,
+    fmt::format("\"server\":\"{}\",\"rate_limit\":{},\"leaving\":{},"
+                "\"before\":{},\"before_ms\":{},\"dispatched_per_s\":{:.1f}",
+                Server().m_id,
+                ToText(aCondition.m_rateLimit),
+                aCondition.m_isLeaving,
+                ToText(m_condition.m_rateLimit),
+                ToMilliseconds(aNow - m_conditionSince),
+                seconds > 0
+                  ? static_cast<double>(m_conditionDispatches) / seconds
+                  : 0) });
+  m_condition = aCondition;
+  m_conditionSince = aNow;
+  m_conditionDispatches = 0;
+}
+
 void
 RelayGateFlow::OnUnreachable(DispatchResult aResult,
                              Instant aNow,
--- a/modules/cr_relay/flow/cr_RelayGateFlow.h
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.h
@@ -82,6 +82,8 @@
     RelayHeader m_header;
     Instant m_deadline;
     Instant m_dispatched = Instant::min();
+    /* The server to which the request was dispatched. */
+    std::string m_server;
     bool m_isCallerDisconnected = false;
   };
 
@@ -101,6 +103,10 @@
   void OnUnreachable(DispatchResult aResult,
                      Instant aNow,
                      RelayActions& aActions);
+  void OnConditionReported(const Call& aCall,
+                           const ServerCondition& aCondition,
+                           Instant aNow,
+                           RelayActions& aActions);
   std::uint32_t Limit() const;
 
   RelayShared& m_shared;
@@ -108,6 +114,10 @@
   SlotQueue m_queue;
   OfferedLoad m_load;
   RouteOrigins m_origins;
+  ServerCondition m_condition;
+  /* For the log: start of the condition, and dispatches since then. */
+  Instant m_conditionSince;
+  std::uint64_t m_conditionDispatches = 0;
   std::unordered_map<CallId, Call> m_calls;
   /* Number of consecutive dispatches that reached no server. */
   int m_consecutiveUnreachable = 0;
--- a/modules/cr_relay_server/protocol/cr_RelayCodec.cpp
+++ b/modules/cr_relay_server/protocol/cr_RelayCodec.cpp
@@ -1,5 +1,7 @@
 #include "cr_relay_server/protocol/cr_RelayCodec.h"
 
+#include <charconv>
+#include <cmath>
 #include <concepts>
 
 #include <boost/beast/http/rfc7230.hpp>
@@ -95,6 +97,28 @@
 
 }
 
+Expected<ServerCondition>
+ReadServerCondition(const HttpHeaders& aHeaders, const RelayHeaderNames& aNames)
+{
+  ServerCondition condition;
+  condition.m_isLeaving = FindHeader(aHeaders, aNames.m_isLeaving) == "1";
+  const std::string_view text = FindHeader(aHeaders, aNames.m_rateLimit);
+  if (text.empty()) {
+    return condition;
+  }
+  double limit = 0;
+  const auto read =
+    std::from_chars(text.data(), text.data() + text.size(), limit);
+  const bool isWhole = read.ptr == text.data() + text.size();
+  if (read.ec != std::errc() || !isWhole || !std::isfinite(limit) ||
+      limit < 0) {
+    return Failure(ErrorCode::Malformed,
+                   fmt::format("the rate limit is no number: {}", text));
+  }
+  condition.m_rateLimit = limit;
+  return condition;
+}
+
 std::string
 EncodeRelayHeader(const RelayHeader& aHeader)
 {
--- a/modules/cr_relay_server/protocol/cr_RelayCodec.h
+++ b/modules/cr_relay_server/protocol/cr_RelayCodec.h
@@ -4,6 +4,7 @@
 #include <string_view>
 
 #include "cr_relay/cr_relay.h"
+#include "cr_relay_server/protocol/cr_RelayProtocolAdapter.h"
 
 namespace cr {
 
@@ -16,6 +17,13 @@
 /** Path at which a node serves its active operator document to other nodes. */
 inline constexpr std::string_view kRoutesPath = "/routes";
 
+/** Reads the condition that a backend server reports in the headers of an
+    answer. Returns ErrorCode::Malformed when the rate limit isn't a finite
+    number, 0 or more. Thread safe. */
+Expected<ServerCondition>
+ReadServerCondition(const HttpHeaders& aHeaders,
+                    const RelayHeaderNames& aNames);
+
 /** Writes the header as HTTP parameters (RFC 7231, section 3.1.1.1), which are
     cheap to parse. Thread safe. */
 std::string
--- a/modules/cr_relay_server/protocol/cr_RelayProtocolAdapter.h
+++ b/modules/cr_relay_server/protocol/cr_RelayProtocolAdapter.h
@@ -29,6 +29,11 @@
   /** In an answer: the numbers of running requests, waiting requests and slots,
       separated by commas. */
   std::string m_load = "Cr-Server-Load";
+  /** In an answer: max number of requests per second, a decimal number, that
+      the backend server accepts from all hosts together. */
+  std::string m_rateLimit = "Cr-Server-Limit";
+  /** In an answer: "1" if the backend server is leaving. */
+  std::string m_isLeaving = "Cr-Server-Leaving";
 };
 
 /** Message from a backend server at the control port. */
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -195,11 +195,30 @@
                                                  HttpResult&& aResult)
 {
   PendingCall* pending = FindPendingCall(aCall);
+  const std::optional<ServerCondition> condition = ReadCondition(aResult);
   const DispatchResult result = ClassifyResult(pending, std::move(aResult));
   if (pending != nullptr) {
     m_metrics.CountDispatch(result, IoThreads::Now() - pending->m_dispatchedAt);
   }
-  ProcessEvent(DispatchEnded{ aCall, result });
+  ProcessEvent(DispatchEnded{ aCall, result, condition });
+}
+
+/* Returns nothing without a well-formed answer. */
+std::optional<ServerCondition>
+RelayServer::Implementation::ReadCondition(const HttpResult& aResult)
+{
+  const auto* response = std::get_if<HttpResponse>(&aResult);
+  if (response == nullptr) {
+    return std::nullopt;
+  }
+  const auto condition =
+    ReadServerCondition(response->m_headers, m_adapter.m_headers);
+  if (!condition) {
+    m_log.Write("malformed",
+                fmt::format("\"why\":{}", QuoteJson(condition.error().m_text)));
+    return std::nullopt;
+  }
+  return *condition;
 }
 
 DispatchResult
