--- /dev/null
+++ b/modules/cr_relay/tests/cr_RelayTestMesh.cpp
@@ -0,0 +1,266 @@
+#include "tests/cr_RelayTestMesh.h"
+
+namespace cr {
+
+namespace {
+
+constexpr Duration kHop = Milliseconds(1);
+constexpr std::uint32_t kSlots = 50;
+
+}
+
+RelayTestMesh::RelayTestMesh(std::size_t aHosts,
+                             std::vector<RouteDescription> aRoutes)
+  : m_routes(std::move(aRoutes))
+{
+  m_hosts.resize(aHosts);
+  for (std::size_t index = 0; index < aHosts; ++index) {
+    m_hosts[index].m_name = "host-" + std::to_string(index);
+    m_hosts[index].m_server = "server-" + std::to_string(index);
+    Start(index);
+  }
+  Run(Seconds(4));
+}
+
+void
+RelayTestMesh::Start(std::size_t aHost, bool aIsAnnounced)
+{
+  Host& host = m_hosts[aHost];
+  RelaySettings settings = RelayTestNode::Settings(host.m_name);
+  settings.m_incarnation = Incarnation{ ++host.m_starts };
+  settings.m_seed = aHost * 100 + host.m_starts;
+  host.m_decisions = std::make_unique<RelayDecisions>(settings);
+  host.m_isDown = false;
+  host.m_timer = Instant::max();
+  RouteConfiguration configuration;
+  configuration.m_generation = 1;
+  configuration.m_routes = m_routes;
+  configuration.m_services["orders"] = { "/health" };
+  Feed(aHost, RoutesOffered{ std::move(configuration) });
+  if (aIsAnnounced) {
+    Announce(aHost);
+  }
+}
+
+void
+RelayTestMesh::Stop(std::size_t aHost)
+{
+  m_hosts[aHost].m_isDown = true;
+  m_hosts[aHost].m_decisions.reset();
+}
+
+void
+RelayTestMesh::Announce(std::size_t aHost)
+{
+  Host& host = m_hosts[aHost];
+  ServerAnnouncement announcement;
+  announcement.m_id = host.m_server;
+  announcement.m_service = "orders";
+  announcement.m_slots = kSlots;
+  announcement.m_startTime = host.m_serverStart;
+  announcement.m_sequence = ++host.m_sequence;
+  Feed(aHost, BackendAnnounced{ announcement });
+}
+
+void
+RelayTestMesh::Send(std::size_t aHost,
+                    const std::string& aTarget,
+                    Duration aDelay)
+{
+  After(aDelay, [this, aHost, aTarget] {
+    RequestArrived event;
+    event.m_call = CallId{ ++m_calls };
+    event.m_hostName = "shop";
+    event.m_target = aTarget;
+    event.m_callerTimeout = Seconds(5);
+    m_targets[event.m_call] = aTarget;
+    Feed(aHost, event);
+  });
+}
+
+void
+RelayTestMesh::SendAtRate(double aRate,
+                          const std::string& aTarget,
+                          Duration aTime)
+{
+  const auto count = static_cast<std::uint64_t>(aRate * ToSeconds(aTime));
+  for (std::uint64_t request = 0; request < count; ++request) {
+    Send(m_random.NextBelow(m_hosts.size()),
+         aTarget,
+         Scale(aTime, m_random.NextDouble()));
+  }
+}
+
+void
+RelayTestMesh::Run(Duration aTime)
+{
+  const Instant end = m_now + aTime;
+  while (!m_queue.empty() && m_queue.begin()->first <= end) {
+    auto next = m_queue.extract(m_queue.begin());
+    m_now = std::max(m_now, next.key());
+    next.mapped()();
+  }
+  m_now = end;
+}
+
+std::size_t
+RelayTestMesh::MaxArrivals(std::size_t aHost, Instant aSince) const
+{
+  const auto& arrivals = m_hosts[aHost].m_arrivals;
+  std::size_t most = 0;
+  for (std::size_t first = 0; first < arrivals.size(); ++first) {
+    if (arrivals[first].m_time < aSince) {
+      continue;
+    }
+    std::size_t last = first;
+    while (last < arrivals.size() &&
+           arrivals[last].m_time < arrivals[first].m_time + Seconds(4)) {
+      ++last;
+    }
+    most = std::max(most, last - first);
+  }
+  return most;
+}
+
+//==============================================================================
+void
+RelayTestMesh::After(Duration aDelay, std::function<void()> aFunction)
+{
+  m_queue.emplace(m_now + aDelay, std::move(aFunction));
+}
+
+void
+RelayTestMesh::Feed(std::size_t aHost, const RelayEvent& aEvent)
+{
+  Host& host = m_hosts[aHost];
+  if (host.m_isDown) {
+    return;
+  }
+  RelayActions actions;
+  host.m_decisions->Handle(aEvent, m_now, actions);
+  for (const RelayAction& action : actions) {
+    Execute(aHost, action);
+  }
+  const Instant due =
+    std::max(host.m_decisions->NextWakeup(), m_now + Milliseconds(1));
+  if (due < host.m_timer && due < m_now + Seconds(60)) {
+    host.m_timer = due;
+    After(due - m_now, [this, aHost, due] {
+      if (m_hosts[aHost].m_timer == due) {
+        m_hosts[aHost].m_timer = Instant::max();
+        Feed(aHost, RelayTimerDue{});
+      }
+    });
+  }
+}
+
+void
+RelayTestMesh::Execute(std::size_t aHost, const RelayAction& aAction)
+{
+  if (const auto* forward = std::get_if<ForwardRequest>(&aAction)) {
+    ExecuteForward(aHost, *forward);
+  } else if (const auto* dispatch = std::get_if<DispatchRequest>(&aAction)) {
+    ExecuteDispatch(aHost, *dispatch);
+  } else if (const auto* call = std::get_if<RelayCallStore>(&aAction)) {
+    ExecuteStoreCall(aHost, *call);
+  } else if (const auto* answer = std::get_if<AnswerPeer>(&aAction)) {
+    const Forward origin = m_forwards.at(answer->m_call);
+    After(kHop, [this, origin, report = answer->m_report] {
+      if (m_hosts[origin.m_origin].m_starts == origin.m_originStart) {
+        Feed(origin.m_origin, ForwardAnswered{ origin.m_call, report });
+      }
+    });
+  } else if (const auto* served = std::get_if<RelayAnswer>(&aAction)) {
+    ++m_served;
+    ++m_servedByTarget[m_targets[served->m_call]];
+  } else if (std::holds_alternative<RefuseRequest>(aAction)) {
+    ++m_refused;
+  } else if (std::holds_alternative<CheckHealth>(aAction)) {
+    After(kHop, [this, aHost] {
+      const Host& host = m_hosts[aHost];
+      const bool isHealthy =
+        !host.m_condition.m_isLeaving || host.m_hasFalseHealth;
+      Feed(aHost, HealthChecked{ isHealthy, host.m_server, kSlots });
+    });
+  }
+}
+
+void
+RelayTestMesh::ExecuteForward(std::size_t aHost, const ForwardRequest& aForward)
+{
+  const auto target =
+    std::find_if(m_hosts.begin(), m_hosts.end(), [&](const Host& aOther) {
+      return aOther.m_name == aForward.m_peer.m_address;
+    });
+  const auto index = static_cast<std::size_t>(target - m_hosts.begin());
+  const Forward forward{ aHost, m_hosts[aHost].m_starts, aForward.m_call };
+  After(kHop, [this, index, forward, header = aForward.m_header] {
+    if (m_hosts[index].m_isDown) {
+      Feed(forward.m_origin, ForwardFailed{ forward.m_call, false, false });
+      return;
+    }
+    const CallId call{ ++m_calls };
+    m_forwards[call] = forward;
+    Feed(index, PeerRequestArrived{ call, header, "orders" });
+  });
+}
+
+void
+RelayTestMesh::ExecuteDispatch(std::size_t aHost,
+                               const DispatchRequest& aDispatch)
+{
+  Host& host = m_hosts[aHost];
+  const auto forward = m_forwards.find(aDispatch.m_call);
+  const std::size_t origin =
+    forward != m_forwards.end() ? forward->second.m_origin : aHost;
+  const bool isRightServer = aDispatch.m_server == host.m_server;
+  if (isRightServer) {
+    host.m_arrivals.push_back({ m_now, origin, aDispatch.m_server });
+  }
+  After(isRightServer ? host.m_serviceTime : kHop,
+        [this, aHost, call = aDispatch.m_call, isRightServer] {
+          Feed(aHost,
+               DispatchEnded{ call,
+                              isRightServer ? DispatchResult::Answered
+                                            : DispatchResult::WrongServer,
+                              m_hosts[aHost].m_condition });
+        });
+}
+
+void
+RelayTestMesh::ExecuteStoreCall(std::size_t aHost, const RelayCallStore& aCall)
+{
+  const std::uint64_t start = m_hosts[aHost].m_starts;
+  const auto answer = [this, aHost, aCall, start] {
+    StoreAnswer result = m_platform.Execute(aCall.m_request);
+    const auto* changes = std::get_if<RowChanges>(&result);
+    if (changes != nullptr && changes->m_changes.empty()) {
+      return false;
+    }
+    if (m_hosts[aHost].m_starts == start) {
+      Feed(aHost, RelayStoreAnswered{ aCall.m_id, std::move(result) });
+    }
+    return true;
+  };
+  After(kHop, [this, answer, aCall] {
+    if (!answer()) {
+      m_watches.emplace_back(answer);
+    }
+    if (std::holds_alternative<TransactRequest>(aCall.m_request)) {
+      AnswerWatches();
+    }
+  });
+}
+
+void
+RelayTestMesh::AnswerWatches()
+{
+  const auto watches = std::exchange(m_watches, {});
+  for (const auto& watch : watches) {
+    if (!watch()) {
+      m_watches.push_back(watch);
+    }
+  }
+}
+
+}
