Requests above a server's rate limit go to servers with room

An answer now carries the limit and the offered rate relative to it; the router steps the share of such a host by (target / load), damped, and a request that a gate refuses because of its limit is offered to up to two others. It has reached no server, so it is no repeat. Hosts without a limit are chosen as before.

--- a/modules/cr_relay/event/cr_RelayTypes.h
+++ b/modules/cr_relay/event/cr_RelayTypes.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "cr_core/cr_core.h"
+#include "cr_membership/cr_membership.h"
 #include "cr_settings/cr_settings.h"
 #include "cr_store/cr_store.h"
 
@@ -52,6 +53,9 @@
   bool m_isIdempotent = false;
   /** Generation of the configuration that is active at the sending node. */
   Generation m_generation = 0;
+  /** The last report about the gate's backend server, if the sending node has
+      one; a gate that has restarted does not know it. */
+  std::optional<ServerReport> m_knownServer{};
 };
 
 /** Metadata that the answering node returns with the answer. */
@@ -72,6 +76,8 @@
   double m_pathLoad = 0;
   /** Generation of the configuration that is active at the answering node. */
   Generation m_generation = 0;
+  /** Set if the gate's backend server has a rate limit or is leaving. */
+  std::optional<ServerReport> m_server{};
 };
 
 /** Result of dispatching a request to the backend server. */
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
@@ -13,6 +13,9 @@
 constexpr std::size_t kMaxForwards = 6;
 /* Max number of routes with admission state. */
 constexpr std::size_t kMaxAdmissions = 8192;
+/* Max number of times that a request is forwarded if gates refuse it because of
+   rate limits. */
+constexpr std::size_t kMaxRateLimitedForwards = 3;
 /* A customer's request may wait for a slot for 1/8 of its objective. A retry
    after a refusal within that time can still meet the objective. */
 constexpr int kCustomerWaitDivisor = 8;
@@ -54,8 +57,12 @@
   result.m_answered =
     aReport.m_outcome == Outcome::Completed && !aReport.m_isServerError;
   result.m_refused = aReport.m_outcome == Outcome::NotRun &&
-                     aReport.m_reason == Reason::Overloaded;
+                     (aReport.m_reason == Reason::Overloaded ||
+                      aReport.m_reason == Reason::RateLimited);
   result.m_latency = aLatency;
+  if (aReport.m_server && aReport.m_server->m_condition.m_rateLimit) {
+    result.m_rateLoad = aReport.m_gateLoad;
+  }
   result.m_level = aReport.m_gateLoad > kBusyLoad ? 1 : 0;
   return result;
 }
@@ -331,6 +338,10 @@
     return true;
   }
   if (aReport.m_outcome == Outcome::NotRun && !aReport.m_hasReachedServer) {
+    // A rate limit of one server says nothing about the load of the others.
+    if (aReport.m_reason == Reason::RateLimited) {
+      return aCall.m_triedHosts.size() < kMaxRateLimitedForwards;
+    }
     // The gate is full: only a child call is queued at one more gate.
     return aCall.m_isChildCall && aCall.m_triedHosts.size() < 2;
   }
@@ -356,7 +367,8 @@
                            Instant aNow)
 {
   const std::string& name = aCall.m_route->m_name;
-  if (!aReport.m_hasReachedServer && aReport.m_reason != Reason::Overloaded) {
+  if (!aReport.m_hasReachedServer && aReport.m_reason != Reason::Overloaded &&
+      aReport.m_reason != Reason::RateLimited) {
     return;
   }
   if (aReport.m_isCalledRoute) {
--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -107,6 +107,7 @@
         ? Reason::Leaving
         : Reason::NoServer);
     report.m_generation = m_shared.m_routes.ActiveGeneration();
+    report.m_server = MakeServerReport();
     aActions.emplace_back(AnswerPeer{ aEvent.m_call, report });
     return;
   }
@@ -340,6 +341,7 @@
     std::max(aReport.m_gateLoad,
              m_shared.DownstreamLoad(call->second.m_header.m_route, aNow));
   aReport.m_generation = m_shared.m_routes.ActiveGeneration();
+  aReport.m_server = MakeServerReport();
   aReport.m_isCalledRoute = m_origins.IsChildCallRoute(
     call->second.m_header.m_route, m_shared.m_hostCounts);
   m_calls.erase(call);
@@ -440,6 +442,18 @@
   }
 }
 
+/* Returns nothing if there is no server, or if nothing restricts its use. */
+std::optional<ServerReport>
+RelayGateFlow::MakeServerReport() const
+{
+  const bool isLeaving = Server().m_state == ServerState::Leaving;
+  if (Server().m_id.empty() || (!isLeaving && !m_condition.m_rateLimit)) {
+    return std::nullopt;
+  }
+  return ServerReport{ m_announcements.Start(),
+                       { m_condition.m_rateLimit, isLeaving } };
+}
+
 std::uint32_t
 RelayGateFlow::Limit() const
 {
--- a/modules/cr_relay/flow/cr_RelayGateFlow.h
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.h
@@ -110,6 +110,7 @@
   void SetCondition(const ServerCondition& aCondition,
                     Instant aNow,
                     RelayActions& aActions);
+  std::optional<ServerReport> MakeServerReport() const;
   std::uint32_t Limit() const;
 
   RelayShared& m_shared;
--- a/modules/cr_relay_server/protocol/cr_RelayCodec.cpp
+++ b/modules/cr_relay_server/protocol/cr_RelayCodec.cpp
@@ -22,6 +22,10 @@
   return static_cast<std::int64_t>(aLoad * kLoadScale);
 }
 
+/* Begins an encoded ServerReport. Quotes in other parameters are escaped, so
+   the text occurs nowhere else. */
+constexpr std::string_view kServerReportPrefix = ";n=\"";
+
 /* Parses parameters one by one and records whether all were well formed. */
 class ParameterReader
 {
@@ -95,6 +99,51 @@
   bool m_isWellFormed = true;
 };
 
+std::string
+EncodeServerReport(const std::optional<ServerReport>& aReport)
+{
+  if (!aReport) {
+    return {};
+  }
+  const ServerCondition& condition = aReport->m_condition;
+  std::string text = fmt::format(
+    ";n={};v={:d}", QuoteJson(aReport->m_start.m_id), condition.m_isLeaving);
+  if (aReport->m_start.m_startTime) {
+    text += fmt::format(";f={}", *aReport->m_start.m_startTime);
+  }
+  if (condition.m_rateLimit) {
+    text += fmt::format(";q={}", ToThousandths(*condition.m_rateLimit));
+  }
+  return text;
+}
+
+/* Decodes the output of EncodeServerReport() from all parameters. */
+Expected<std::optional<ServerReport>>
+DecodeServerReport(std::string_view aText)
+{
+  if (aText.find(kServerReportPrefix) == std::string_view::npos) {
+    return std::nullopt;
+  }
+  constexpr int parameters = 2;
+  ServerReport report;
+  ParameterReader reader(aText);
+  reader.ForEach([&](std::string_view aName, std::string_view aValue) {
+    if (aName == "n") {
+      reader.Read(aValue, report.m_start.m_id);
+    } else if (aName == "v") {
+      reader.Read(aValue, report.m_condition.m_isLeaving);
+    } else if (aName == "f") {
+      reader.Read(aValue, report.m_start.m_startTime.emplace());
+    } else if (aName == "q") {
+      reader.Read(aValue, report.m_condition.m_rateLimit.emplace());
+    }
+  });
+  if (!reader.IsComplete(parameters)) {
+    return Failure(ErrorCode::Malformed, "no whole server report");
+  }
+  return report;
+}
+
 }
 
 Expected<ServerCondition>
@@ -122,7 +171,7 @@
 std::string
 EncodeRelayHeader(const RelayHeader& aHeader)
 {
-  return fmt::format(";s={};r={};t={};w={};u={};b={:d};i={:d};g={}",
+  return fmt::format(";s={};r={};t={};w={};u={};b={:d};i={:d};g={}{}",
                      QuoteJson(aHeader.m_service),
                      QuoteJson(aHeader.m_route),
                      aHeader.m_remaining.count(),
@@ -130,7 +179,8 @@
                      aHeader.m_priority,
                      aHeader.m_isChildCall,
                      aHeader.m_isIdempotent,
-                     aHeader.m_generation);
+                     aHeader.m_generation,
+                     EncodeServerReport(aHeader.m_knownServer));
 }
 
 Expected<RelayHeader>
@@ -161,13 +211,18 @@
   if (!reader.IsComplete(parameters)) {
     return Failure(ErrorCode::Malformed, "no whole relay header");
   }
+  auto server = DecodeServerReport(aText);
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  header.m_knownServer = std::move(*server);
   return header;
 }
 
 std::string
 EncodeRelayReport(const RelayReport& aReport)
 {
-  return fmt::format(";o={};y={};e={:d};h={:d};c={:d};l={};p={};g={}",
+  return fmt::format(";o={};y={};e={:d};h={:d};c={:d};l={};p={};g={}{}",
                      ToText(aReport.m_outcome),
                      ToText(aReport.m_reason),
                      aReport.m_isServerError,
@@ -175,7 +230,8 @@
                      aReport.m_isCalledRoute,
                      ToThousandths(aReport.m_gateLoad),
                      ToThousandths(aReport.m_pathLoad),
-                     aReport.m_generation);
+                     aReport.m_generation,
+                     EncodeServerReport(aReport.m_server));
 }
 
 Expected<RelayReport>
@@ -206,6 +262,11 @@
   if (!reader.IsComplete(parameters)) {
     return Failure(ErrorCode::Malformed, "no whole report");
   }
+  auto server = DecodeServerReport(aText);
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  report.m_server = std::move(*server);
   return report;
 }
 
--- a/modules/cr_routing/health/cr_HostHealth.cpp
+++ b/modules/cr_routing/health/cr_HostHealth.cpp
@@ -15,6 +15,15 @@
 constexpr Duration kEjectionMemory = Seconds(60);
 constexpr double kEjectionJitter = 0.2;
 constexpr double kMinRampShare = 0.1;
+/* The share of a host with a rate limit is stepped by (target / load), damped,
+   within bounds. The damping keeps the loop stable with the time over which the
+   load is averaged. */
+constexpr double kTargetRateLoad = 0.9;
+constexpr double kLimitShareDamping = 0.35;
+constexpr double kMaxLimitDecrease = 0.7;
+constexpr double kMaxLimitIncrease = 1.25;
+constexpr double kMinLimitShare = 0.02;
+constexpr Duration kLimitInterval = Milliseconds(250);
 
 /* Exponentially weighted mean. */
 void
@@ -46,6 +55,9 @@
     m_level = aResult.m_level;
     m_levelReceived = aNow;
   }
+  if (!failed) {
+    UpdateLimitShare(aResult.m_rateLoad, aNow);
+  }
   if (aResult.m_answered) {
     const auto latency = static_cast<double>(aResult.m_latency.count());
     if (m_hasLatency) {
@@ -121,6 +133,26 @@
   return std::max(kMinRampShare, grown);
 }
 
+/* Without a limit the share grows back step by step, so that the host is not
+   flooded when its limit ends. */
+void
+HostHealth::UpdateLimitShare(std::optional<double> aRateLoad, Instant aNow)
+{
+  if (aNow < m_nextLimitStep || (!aRateLoad && m_limitShare >= 1)) {
+    return;
+  }
+  constexpr double minLoad = 0.01;
+  m_nextLimitStep = aNow + kLimitInterval;
+  const double ratio = aRateLoad
+                         ? kTargetRateLoad / std::max(*aRateLoad, minLoad)
+                         : kMaxLimitIncrease / kTargetRateLoad;
+  const double factor = aRateLoad ? std::pow(ratio, kLimitShareDamping) : ratio;
+  m_limitShare = std::clamp(
+    m_limitShare * std::clamp(factor, kMaxLimitDecrease, kMaxLimitIncrease),
+    kMinLimitShare,
+    1.0);
+}
+
 double
 HostHealth::Weight(Instant aNow) const
 {
--- a/modules/cr_routing/health/cr_HostHealth.h
+++ b/modules/cr_routing/health/cr_HostHealth.h
@@ -58,7 +58,12 @@
   /** Returns the part of its full share that the host gets, in (0, 1]. */
   double RampShare(Instant aNow) const;
 
+  /** Returns the part of its full share that the host gets because of its rate
+      limit, in (0, 1]. */
+  double LimitShare() const { return m_limitShare; }
+
 private:
+  void UpdateLimitShare(std::optional<double> aRateLoad, Instant aNow);
   double Weight(Instant aNow) const;
 
   double m_failure = 0;
@@ -72,6 +77,8 @@
   std::uint32_t m_ejections = 0;
   Instant m_ejectedUntil = Instant::min();
   Instant m_rampStart = Instant::min();
+  double m_limitShare = 1;
+  Instant m_nextLimitStep = Instant::min();
 };
 
 }
--- a/modules/cr_routing/router/cr_RouteTarget.h
+++ b/modules/cr_routing/router/cr_RouteTarget.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "cr_core/cr_core.h"
@@ -30,6 +31,9 @@
   AdmissionLevel m_level = 0;
   /** Only the connection failed; the host answered on another one. */
   bool m_connectionLost = false;
+  /** Requests offered to the host's backend server, relative to its rate limit;
+      empty if it has none. */
+  std::optional<double> m_rateLoad{};
 };
 
 }
--- a/modules/cr_routing/router/cr_Router.cpp
+++ b/modules/cr_routing/router/cr_Router.cpp
@@ -142,11 +142,19 @@
 Router::ChooseHost(const Request& aRequest)
 {
   Entry* chosen = ChooseInGroup(m_ownDataCentre, aRequest);
-  if (chosen != nullptr && !IsLoaded(*chosen, aRequest)) {
+  if (chosen != nullptr && !IsLoaded(*chosen, aRequest) &&
+      DrawLimitShare(*chosen)) {
     return chosen;
   }
-  if (Entry* regional = ChooseInGroup(m_ownRegion, aRequest)) {
+  for (int pick = 0; pick < kMaxPicks; ++pick) {
+    Entry* regional = ChooseInGroup(m_ownRegion, aRequest);
+    if (regional == nullptr) {
+      break;
+    }
     chosen = regional;
+    if (DrawLimitShare(*regional)) {
+      break;
+    }
   }
   if (chosen != nullptr && !Refuses(*chosen, aRequest) &&
       !IsSlow(*chosen, aRequest.m_now)) {
@@ -160,6 +168,15 @@
   return chosen != nullptr ? chosen : FindCheapestNotExcluded(aRequest);
 }
 
+/* Returns whether the host is used for this request, with the probability of
+   its limit share. */
+bool
+Router::DrawLimitShare(const Entry& aEntry)
+{
+  const double share = aEntry.m_health.LimitShare();
+  return share >= 1 || m_random.NextDouble() < share;
+}
+
 Router::Entry*
 Router::ChooseInGroup(const Group& aGroup, const Request& aRequest)
 {
--- a/modules/cr_routing/router/cr_Router.h
+++ b/modules/cr_routing/router/cr_Router.h
@@ -85,6 +85,7 @@
 
   void RebuildIndex();
   Entry* ChooseHost(const Request& aRequest);
+  bool DrawLimitShare(const Entry& aEntry);
   Entry* ChooseInGroup(const Group& aGroup, const Request& aRequest);
   Entry* PickHost(const Group& aGroup, const Request& aRequest);
   Entry* FindUsable(const Group& aGroup, const Request& aRequest);
