A rate limit outlives a restart of the gate that enforces it

Each node now keeps the last report about a restricted server and sends it along with its requests; a gate that has not yet had an answer of its server adopts it. The server's own answer goes first, a report about another start is ignored, and no message or store call is added. A table row was weighed and left: store calls are priced, and the store may be away during the restart.

The test of malformed headers has the new parameter, so that each text still has one fault only.

--- a/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
@@ -16,6 +16,9 @@
 /* Max number of times that a request is forwarded if gates refuse it because of
    rate limits. */
 constexpr std::size_t kMaxRateLimitedForwards = 3;
+/* From this number of reports on, those about hosts that are gone are removed.
+ */
+constexpr std::size_t kMaxServerReports = 1024;
 /* A customer's request may wait for a slot for 1/8 of its objective. A retry
    after a refusal within that time can still meet the objective. */
 constexpr int kCustomerWaitDivisor = 8;
@@ -257,6 +260,10 @@
   header.m_isChildCall = aCall.m_isChildCall;
   header.m_isIdempotent = aCall.m_route->m_idempotent;
   header.m_generation = m_shared.m_routes.ActiveGeneration();
+  const auto known = m_shared.m_serverReports.find(target->m_host);
+  if (known != m_shared.m_serverReports.end()) {
+    header.m_knownServer = known->second;
+  }
   aActions.emplace_back(
     ForwardRequest{ aCall.m_id, target->m_peer, std::move(header) });
   aCall.m_target = std::move(target);
@@ -296,6 +303,7 @@
                                RelayActions& aActions)
 {
   RecordLoad(aCall, aReport, aNow);
+  RecordServer(aCall.m_target->m_host, aReport);
   ReportAttempt(aCall, ToAttemptResult(aReport, aNow - aCall.m_sent), aNow);
   aCall.m_runs += aReport.m_outcome != Outcome::NotRun ? 1 : 0;
   aCall.m_lastReason = aReport.m_reason;
@@ -386,6 +394,25 @@
   }
 }
 
+/* A report stays until the server itself has answered without a restriction, so
+   that it outlives a restart of the host's gate. */
+void
+RelayEntryFlow::RecordServer(const HostName& aHost, const RelayReport& aReport)
+{
+  auto& reports = m_shared.m_serverReports;
+  if (aReport.m_server) {
+    if (reports.size() >= kMaxServerReports && !reports.contains(aHost)) {
+      std::erase_if(reports, [&](const auto& aKnown) {
+        return m_shared.m_directory.Find(aKnown.first) == nullptr;
+      });
+    }
+    reports.insert_or_assign(aHost, *aReport.m_server);
+  } else if (aReport.m_hasReachedServer &&
+             aReport.m_outcome != Outcome::Unknown) {
+    reports.erase(aHost);
+  }
+}
+
 void
 RelayEntryFlow::ReportAttempt(Call& aCall,
                               const AttemptResult& aResult,
--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -101,6 +101,9 @@
                       Instant aNow,
                       RelayActions& aActions)
 {
+  if (aEvent.m_header.m_knownServer) {
+    AdoptKnownReport(*aEvent.m_header.m_knownServer, aNow, aActions);
+  }
   if (!IsOpen() || aEvent.m_header.m_service != Server().m_service) {
     RelayReport report = NotRunReport(
       m_shared.m_isLeaving || Server().m_state == ServerState::Leaving
@@ -355,7 +358,10 @@
                               RelayActions& aActions)
 {
   if (!MayBeSame(m_conditionServer, m_announcements.Start())) {
-    SetCondition({}, aNow, aActions);
+    m_hasServerAnswered = false;
+    if (m_condition != ServerCondition()) {
+      SetCondition({}, "start", aNow, aActions);
+    }
   }
   m_conditionServer = m_announcements.Start();
   if (aResult == AnnouncementResult::Unchanged) {
@@ -387,22 +393,51 @@
   ApplyDecisions(decisions, aNow, aActions);
 }
 
+/* The server's own answers go before the reports of other nodes. */
 void
 RelayGateFlow::OnConditionReported(const Call& aCall,
                                    const ServerCondition& aCondition,
                                    Instant aNow,
                                    RelayActions& aActions)
 {
-  if (!MayBeSame(aCall.m_server, m_announcements.Start()) ||
-      aCondition == m_condition) {
+  if (!MayBeSame(aCall.m_server, m_announcements.Start())) {
+    return;
+  }
+  m_hasServerAnswered = true;
+  if (aCondition != m_condition) {
+    SetCondition(aCondition, "server", aNow, aActions);
+  }
+}
+
+/* A gate that has restarted does not know what its server answered before; the
+   nodes that have passed on those answers do. */
+void
+RelayGateFlow::AdoptKnownReport(const ServerReport& aReport,
+                                Instant aNow,
+                                RelayActions& aActions)
+{
+  if (Server().m_id.empty() || m_hasServerAnswered ||
+      !MayBeSame(aReport.m_start, m_announcements.Start()) ||
+      aReport.m_condition == m_condition) {
     return;
   }
+  SetCondition(aReport.m_condition, "node", aNow, aActions);
+}
+
+void
+RelayGateFlow::SetCondition(const ServerCondition& aCondition,
+                            std::string_view aSource,
+                            Instant aNow,
+                            RelayActions& aActions)
+{
   const double seconds = ToSeconds(aNow - m_conditionSince);
   aActions.emplace_back(LogDecision{
     "server-condition",
     std::nullopt,
-    fmt::format("\"server\":\"{}\",\"rate_limit\":{},\"leaving\":{},"
-                "\"before\":{},\"before_ms\":{},\"dispatched_per_s\":{:.1f}",
+    fmt::format("\"source\":\"{}\",\"server\":\"{}\",\"rate_limit\":{},"
+                "\"leaving\":{},\"before\":{},\"before_ms\":{},"
+                "\"dispatched_per_s\":{:.1f}",
+                aSource,
                 Server().m_id,
                 ToText(aCondition.m_rateLimit),
                 aCondition.m_isLeaving,
@@ -411,14 +446,6 @@
                 seconds > 0
                   ? static_cast<double>(m_conditionDispatches) / seconds
                   : 0) });
-  SetCondition(aCondition, aNow, aActions);
-}
-
-void
-RelayGateFlow::SetCondition(const ServerCondition& aCondition,
-                            Instant aNow,
-                            RelayActions& aActions)
-{
   m_condition = aCondition;
   m_conditionSince = aNow;
   m_conditionDispatches = 0;
--- a/modules/cr_relay/flow/cr_RelayGateFlow.h
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.h
@@ -107,7 +107,11 @@
                            const ServerCondition& aCondition,
                            Instant aNow,
                            RelayActions& aActions);
+  void AdoptKnownReport(const ServerReport& aReport,
+                        Instant aNow,
+                        RelayActions& aActions);
   void SetCondition(const ServerCondition& aCondition,
+                    std::string_view aSource,
                     Instant aNow,
                     RelayActions& aActions);
   std::optional<ServerReport> MakeServerReport() const;
@@ -121,6 +125,8 @@
   /* The start of the server that has the condition. */
   ServerStart m_conditionServer;
   ServerCondition m_condition;
+  /* The server has answered since this process started. */
+  bool m_hasServerAnswered = false;
   /* For the log: start of the condition, and dispatches since then. */
   Instant m_conditionSince;
   std::uint64_t m_conditionDispatches = 0;
--- a/modules/cr_relay/flow/cr_RelayShared.h
+++ b/modules/cr_relay/flow/cr_RelayShared.h
@@ -44,6 +44,9 @@
   RouteOrigins::HostCounts m_hostCounts;
   /** Child calls that the host's backend server makes. */
   CallPattern m_pattern;
+  /** Last reports about the backend servers of other hosts that have a rate
+      limit or are leaving. */
+  std::map<HostName, ServerReport> m_serverReports;
   /** Hosts to which the latest connection attempt failed. */
   std::map<HostName, UnreachableHost> m_unreachableHosts;
   /** The node is shutting down. */
--- a/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
@@ -353,6 +353,33 @@
   }
 }
 
+TEST(RelayEntryFlow, ReportOfAServerIsSentBackUntilTheServerAnswersWithoutIt)
+{
+  Entry node;
+  RelayReport limited = kCompleted;
+  limited.m_server = ServerReport{ { "server-6", 1000 }, { 5, false } };
+  std::string host;
+  const auto forward = [&](const RelayReport& aReport) {
+    for (int attempt = 0; attempt < 100; ++attempt) {
+      const CallId call = node.Request("/booking/1");
+      const auto forwards = node.TakeActions<ForwardRequest>();
+      const std::string address = forwards.at(0).m_peer.m_address;
+      if (host.empty() || host == address) {
+        host = address;
+        node.Answer(call, aReport);
+        return forwards.at(0).m_header.m_knownServer;
+      }
+      node.Answer(call, kCompleted);
+    }
+    ADD_FAILURE() << "the host was not chosen";
+    return std::optional<ServerReport>();
+  };
+  EXPECT_FALSE(forward(limited));
+  EXPECT_EQ(forward(kBroken), limited.m_server);
+  EXPECT_EQ(forward(kCompleted), limited.m_server);
+  EXPECT_FALSE(forward(kCompleted));
+}
+
 }
 
 }
--- a/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
@@ -233,6 +233,49 @@
   EXPECT_EQ(node.TakeActions<DispatchRequest>().size(), 1U);
 }
 
+/* Incident LIMIT: the process that had read the limit restarts. */
+TEST(RelayGateFlow, RestartedGateEnforcesTheRateLimitThatOtherNodesKnow)
+{
+  Gate node(50);
+  RelayHeader header;
+  header.m_service = "orders";
+  header.m_route = "route-orders";
+  header.m_remaining = Seconds(5);
+  header.m_maxWait = Milliseconds(200);
+  header.m_knownServer = ServerReport{ { "server-1", 1000 }, { 5, false } };
+  for (std::uint64_t call = 1; call <= 40; ++call) {
+    node.m_now += Milliseconds(10);
+    node.Feed(PeerRequestArrived{ CallId{ 1000 + call }, header, "front" });
+  }
+  EXPECT_LE(node.TakeActions<DispatchRequest>().size(), 4U);
+  const auto answers = node.TakeActions<AnswerPeer>();
+  ASSERT_FALSE(answers.empty());
+  EXPECT_EQ(answers[0].m_report.m_reason, Reason::RateLimited);
+  EXPECT_EQ(answers[0].m_report.m_server, header.m_knownServer);
+  EXPECT_GT(answers.back().m_report.m_gateLoad, 1);
+}
+
+TEST(RelayGateFlow, AnswerOfTheServerGoesBeforeWhatOtherNodesKnow)
+{
+  Gate node(50);
+  node.Feed(DispatchEnded{
+    node.PeerRequest(true), DispatchResult::Answered, ServerCondition{} });
+  RelayHeader header;
+  header.m_service = "orders";
+  header.m_route = "route-orders";
+  header.m_remaining = Seconds(5);
+  header.m_maxWait = Milliseconds(200);
+  for (const WallMilliseconds start : { 1000, 2000 }) {
+    header.m_knownServer = ServerReport{ { "server-1", start }, { 1, false } };
+    node.TakeActions<DispatchRequest>();
+    for (std::uint64_t call = 1; call <= 10; ++call) {
+      const auto number = static_cast<std::uint64_t>(start) + call;
+      node.Feed(PeerRequestArrived{ CallId{ number }, header, "front" });
+    }
+    EXPECT_EQ(node.TakeActions<DispatchRequest>().size(), 10U);
+  }
+}
+
 TEST(RelayGateFlow, ShutdownRefusesNewRequestsAndFinishesRunningOnes)
 {
   Gate node(10);
--- a/modules/cr_relay_server/tests/cr_RelayFleet.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.cpp
@@ -113,6 +113,13 @@
         { "Cr-Server", "server" },
         { "Cr-Server-Load", "0,0,8" }
       };
+      if (self->m_rateLimit > 0) {
+        response.m_headers.push_back(
+          { "Cr-Server-Limit", std::to_string(self->m_rateLimit) });
+      }
+      if (self->m_isLeaving) {
+        response.m_headers.push_back({ "Cr-Server-Leaving", "1" });
+      }
       if (aRequest.m_target == "/health") {
         aAnswer.Send(response);
         return;
--- a/modules/cr_relay_server/tests/cr_RelayFleet.h
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.h
@@ -26,6 +26,9 @@
     std::unique_ptr<HttpServer> m_server;
     std::unique_ptr<RelayServer> m_node;
     std::atomic<int> m_requestsRun{ 0 };
+    /** Rate limit that the server names; 0 for none. */
+    std::atomic<int> m_rateLimit{ 0 };
+    std::atomic<bool> m_isLeaving{ false };
     std::atomic<Duration> m_responseDelay{ Duration::zero() };
   };
 
--- a/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
@@ -41,8 +41,10 @@
                             "[]",
                             "[1,2,3,4,5,6,7,8]",
                             "null",
-                            ";s=a;r=b;t=x;w=1;b=0;i=0;g=1",
-                            ";s=a;r=b;t=1;w=1;b=0;i=7;g=1",
+                            ";s=a;r=b;t=x;w=1;u=0;b=0;i=0;g=1",
+                            ";s=a;r=b;t=1;w=1;u=0;b=0;i=7;g=1",
+                            ";s=a;r=b;t=1;w=1;u=0;b=0;i=0;g=1;n=\"a\";v=2",
+                            ";o=unknown;y=none;e=0;h=0;c=0;l=1;p=1;g=1;n=\"a\"",
                             ";o=no;y=none;e=0;h=0;c=0;l=1;p=1;g=1",
                             ";s=\"a" }) {
     EXPECT_FALSE(DecodeRelayHeader(text)) << text;
@@ -50,6 +52,73 @@
   }
 }
 
+TEST(RelayCodec, ServerReportsRoundTrip)
+{
+  RelayHeader header;
+  header.m_service = "a;n=\"b";
+  EXPECT_FALSE(DecodeRelayHeader(EncodeRelayHeader(header))->m_knownServer);
+  RelayReport report;
+  for (const ServerReport& server :
+       { ServerReport{ { "i;\"1", std::nullopt }, { std::nullopt, true } },
+         ServerReport{ { "i-1", 1778067239011 }, { 5.625, false } },
+         ServerReport{ { "i-1", 1 }, { 0, true } } }) {
+    header.m_knownServer = server;
+    report.m_server = server;
+    const auto readHeader = DecodeRelayHeader(EncodeRelayHeader(header));
+    ASSERT_TRUE(readHeader);
+    EXPECT_EQ(readHeader->m_service, header.m_service);
+    EXPECT_EQ(readHeader->m_knownServer, server);
+    const auto readReport = DecodeRelayReport(EncodeRelayReport(report));
+    ASSERT_TRUE(readReport);
+    EXPECT_EQ(readReport->m_server, server);
+  }
+}
+
+TEST(RelayCodec, ConditionOfAServerIsReadFromItsAnswer)
+{
+  const RelayHeaderNames names;
+  const auto read = [&](const char* aLimit) {
+    return ReadServerCondition({ { "cr-server-limit", aLimit } }, names);
+  };
+  EXPECT_EQ(ReadServerCondition({}, names).value(), ServerCondition());
+  EXPECT_EQ(read("18.5")->m_rateLimit, 18.5);
+  EXPECT_EQ(read("0")->m_rateLimit, 0);
+  for (const char* text : { "x", "-1", "nan", "inf", "5 a second", "1e999" }) {
+    EXPECT_FALSE(read(text)) << text;
+  }
+  EXPECT_TRUE(
+    ReadServerCondition({ { "Cr-Server-Leaving", "1" } }, names)->m_isLeaving);
+}
+
+/* Incident LIMIT. */
+TEST(RelayServer, ServerGetsNoMoreRequestsThanTheRateLimitThatItNames)
+{
+  RelayFleet fleet({ "status" });
+  fleet.WriteRoutes(1, { "status" });
+  fleet.At(0).m_rateLimit = 2;
+  EXPECT_EQ(fleet.SendUntil(0, "/status/7", kHttpOk), kHttpOk);
+  const int before = fleet.At(0).m_requestsRun;
+  const Instant start = IoThreads::Now();
+  for (int request = 0; request < 20; ++request) {
+    fleet.Send(0, "/status/7");
+  }
+  const double seconds = ToSeconds(IoThreads::Now() - start);
+  EXPECT_LE(fleet.At(0).m_requestsRun - before, 2 * seconds + 1);
+  EXPECT_GT(fleet.CountDecisions(0, "server-condition"), 0);
+}
+
+TEST(RelayServer, ServerThatSaysItLeavesGetsNoNewRequests)
+{
+  RelayFleet fleet({ "status" });
+  fleet.WriteRoutes(1, { "status" });
+  EXPECT_EQ(fleet.SendUntil(0, "/status/7", kHttpOk), kHttpOk);
+  fleet.At(0).m_isLeaving = true;
+  EXPECT_EQ(fleet.Send(0, "/status/7").m_status, kHttpOk);
+  const int before = fleet.At(0).m_requestsRun;
+  EXPECT_EQ(fleet.Send(0, "/status/7").m_status, kHttpUnavailable);
+  EXPECT_EQ(fleet.At(0).m_requestsRun, before);
+}
+
 TEST(RelayServer, RequestsReachTheirServiceUnchangedFromAnyNode)
 {
   RelayFleet fleet({ "status", "booking" });
