A backend server that says it leaves gets no new requests

An answer that says so is a departure of that start: the gate closes for good, the node's row says so, and every host that has passed on such an answer tells the gate of it with its requests, so that a restarted gate closes again. A health answer that says so does not open the gate. Reports about another start, and reports without a start time about a known start, change nothing.

--- a/modules/cr_relay/event/cr_RelayEvent.h
+++ b/modules/cr_relay/event/cr_RelayEvent.h
@@ -84,6 +84,8 @@
   bool m_isHealthy = false;
   std::string m_id;
   std::uint32_t m_slots = 0;
+  /** Condition in the server's answer; empty without an answer. */
+  std::optional<ServerCondition> m_condition{};
 };
 
 /** The platform answered a request. */
--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -235,7 +235,8 @@
                       RelayActions& aActions)
 {
   m_isCheckingHealth = false;
-  if (!aEvent.m_isHealthy || aEvent.m_id.empty()) {
+  const bool isLeaving = aEvent.m_condition && aEvent.m_condition->m_isLeaving;
+  if (!aEvent.m_isHealthy || aEvent.m_id.empty() || isLeaving) {
     return;
   }
   OnServerChange(m_announcements.OnHealthCheck({ aEvent.m_id,
@@ -245,6 +246,10 @@
                  "health",
                  aNow,
                  aActions);
+  if (aEvent.m_condition && aEvent.m_id == Server().m_id &&
+      *aEvent.m_condition != m_condition) {
+    SetCondition(*aEvent.m_condition, "health", aNow, aActions);
+  }
 }
 
 void
@@ -407,6 +412,9 @@
   if (aCondition != m_condition) {
     SetCondition(aCondition, "server", aNow, aActions);
   }
+  if (aCondition.m_isLeaving) {
+    MarkLeaving(aCall.m_server, "answer", aNow, aActions);
+  }
 }
 
 /* A gate that has restarted does not know what its server answered before; the
@@ -416,12 +424,32 @@
                                 Instant aNow,
                                 RelayActions& aActions)
 {
-  if (Server().m_id.empty() || m_hasServerAnswered ||
-      !MayBeSame(aReport.m_start, m_announcements.Start()) ||
-      aReport.m_condition == m_condition) {
+  if (Server().m_id.empty() ||
+      !MayBeSame(aReport.m_start, m_announcements.Start())) {
     return;
   }
-  SetCondition(aReport.m_condition, "node", aNow, aActions);
+  if (!m_hasServerAnswered && aReport.m_condition != m_condition) {
+    SetCondition(aReport.m_condition, "node", aNow, aActions);
+  }
+  // Leaving is final for a start, so it holds whatever the server answered
+  // since. A report without a start time may be about an earlier one.
+  const bool isKnownStart =
+    aReport.m_start.m_startTime || !m_announcements.Start().m_startTime;
+  if (aReport.m_condition.m_isLeaving && isKnownStart) {
+    MarkLeaving(aReport.m_start, "node", aNow, aActions);
+  }
+}
+
+void
+RelayGateFlow::MarkLeaving(const ServerStart& aStart,
+                           std::string_view aCause,
+                           Instant aNow,
+                           RelayActions& aActions)
+{
+  OnServerChange(m_announcements.Leave(aStart.m_id, aStart.m_startTime),
+                 aCause,
+                 aNow,
+                 aActions);
 }
 
 void
--- a/modules/cr_relay/flow/cr_RelayGateFlow.h
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.h
@@ -110,6 +110,10 @@
   void AdoptKnownReport(const ServerReport& aReport,
                         Instant aNow,
                         RelayActions& aActions);
+  void MarkLeaving(const ServerStart& aStart,
+                   std::string_view aCause,
+                   Instant aNow,
+                   RelayActions& aActions);
   void SetCondition(const ServerCondition& aCondition,
                     std::string_view aSource,
                     Instant aNow,
--- a/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
@@ -276,6 +276,57 @@
   }
 }
 
+TEST(RelayGateFlow, HealthyAnswerOfALeavingServerDoesNotOpenTheGate)
+{
+  RelayTestNode node;
+  node.AdoptRoutes(1, { RelayTestNode::Route("orders", true) });
+  node.Feed(HealthChecked{
+    true, "server-1", 4, ServerCondition{ std::nullopt, true } });
+  node.PeerRequest(true);
+  EXPECT_TRUE(node.TakeActions<DispatchRequest>().empty());
+  node.m_now += Seconds(1);
+  node.Feed(RelayTimerDue{});
+  node.Feed(HealthChecked{ true, "server-2", 4, ServerCondition{} });
+  node.PeerRequest(true);
+  EXPECT_EQ(node.TakeActions<DispatchRequest>().size(), 1U);
+}
+
+TEST(RelayGateFlow, ReportWithoutAStartTimeDoesNotCloseTheGateOfAKnownStart)
+{
+  for (const bool isStartKnown : { false, true }) {
+    Gate node(10);
+    RelayHeader header;
+    header.m_service = "orders";
+    header.m_route = "route-orders";
+    header.m_remaining = Seconds(5);
+    ServerStart start{ "server-1", std::nullopt };
+    if (isStartKnown) {
+      start.m_startTime = 1000;
+    }
+    header.m_knownServer = ServerReport{ start, { std::nullopt, true } };
+    node.Feed(PeerRequestArrived{ CallId{ 1000 }, header, "front" });
+    EXPECT_EQ(node.TakeActions<DispatchRequest>().empty(), isStartKnown);
+  }
+}
+
+/* A late answer of the former start says nothing about the present one. */
+TEST(RelayGateFlow, LeavingOfAnEarlierStartDoesNotCloseTheGate)
+{
+  Gate node(10);
+  const CallId late = node.PeerRequest(true);
+  ServerAnnouncement again;
+  again.m_id = "server-1";
+  again.m_service = "orders";
+  again.m_slots = 10;
+  again.m_startTime = 2000;
+  node.Feed(BackendAnnounced{ again });
+  node.TakeActions<DispatchRequest>();
+  node.Feed(DispatchEnded{
+    late, DispatchResult::Answered, ServerCondition{ std::nullopt, true } });
+  node.PeerRequest(true);
+  EXPECT_EQ(node.TakeActions<DispatchRequest>().size(), 1U);
+}
+
 TEST(RelayGateFlow, ShutdownRefusesNewRequestsAndFinishesRunningOnes)
 {
   Gate node(10);
--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -496,6 +496,7 @@
   HealthChecked event;
   if (const auto* response = std::get_if<HttpResponse>(&aResult)) {
     event.m_isHealthy = response->m_status == kHttpOk;
+    event.m_condition = ReadCondition(aResult);
     event.m_id =
       FindHeader(response->m_headers, m_adapter.m_headers.m_serverId);
     const std::string_view load =
