--- a/modules/cr_relay/tests/cr_RelayServerConditionTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayServerConditionTest.cpp
@@ -25,9 +25,9 @@
 
 struct Mesh : RelayTestMesh
 {
-  Mesh()
+  explicit Mesh(std::size_t aHosts = 5)
     : RelayTestMesh(
-        5,
+        aHosts,
         { RouteWithPriority("urgent", 0), RouteWithPriority("browse", 2) })
   {
   }
@@ -70,6 +70,23 @@
   EXPECT_GE(mesh.m_served, 2400 * 97 / 100);
 }
 
+/* Entries hear from servers with low limits only now and then. */
+TEST(RelayServerCondition, LowLimitsDoNotKeepRequestsFromAServerWithRoom)
+{
+  Mesh mesh(12);
+  for (Mesh::Host& host : mesh.m_hosts) {
+    host.m_serviceTime = Milliseconds(600);
+  }
+  // The servers without a limit run 76 requests per second each.
+  mesh.SendAtRate(220, "/browse/1", Seconds(24));
+  mesh.Run(Seconds(4));
+  mesh.SetLimits(3, 5);
+  mesh.Run(Seconds(2));
+  mesh.m_served = 0;
+  mesh.Run(Seconds(18));
+  EXPECT_GE(mesh.m_served, 220 * 17 * 95 / 100);
+}
+
 /* The process that knew the limit restarts; the other hosts stay bound. */
 TEST(RelayServerCondition, RestartedGateKeepsTheRateLimit)
 {
