Requests that fit at servers without a limit are no longer refused for other servers' limits

Cause: a gate reported its rate load as the load of the request's path, and an entry lowers the admitted share of a route by the mean of the path loads. One gate above its limit so closed the entry for the whole service; 2,722 answers had an empty 'tried' and a share of 0.3 on average. Class: the state of one server taken for that of its service. Ruled out: refusals by the gates themselves (13 of 3,024 answers).

The rate load stays out of the path load, and an entry counts it only if no host of the service is free of load and of a limit that keeps requests from it.

--- a/modules/cr_relay/event/cr_RelayTypes.h
+++ b/modules/cr_relay/event/cr_RelayTypes.h
@@ -70,9 +70,10 @@
   /** The gate classifies the route as one by which backend servers call each
       other. @see RouteOrigins */
   bool m_isCalledRoute = false;
-  /** Load of the answering node's gate. @see OfferedLoad */
+  /** Load of the answering node's gate. @see RelayGateFlow::Load */
   double m_gateLoad = 0;
-  /** Max load of all gates on the path of the request, this gate included. */
+  /** Max load of all gates on the path of the request, this gate included; its
+      rate limit is not, as other hosts of the service may have none. */
   double m_pathLoad = 0;
   /** Generation of the configuration that is active at the answering node. */
   Generation m_generation = 0;
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
@@ -384,16 +384,30 @@
   } else {
     m_shared.m_calledRoutes.erase(name);
   }
+  const bool isRateTheBottleneck = aReport.m_gateLoad > aReport.m_pathLoad;
+  if (isRateTheBottleneck && HasUnrestrictedHost(aCall.m_service, aNow)) {
+    return;
+  }
+  const double load = std::max(aReport.m_gateLoad, aReport.m_pathLoad);
   if (aCall.m_isChildCall) {
-    if (aReport.m_pathLoad > 0) {
-      m_shared.m_pathLoads[name].Record(aReport.m_pathLoad, aNow);
+    if (load > 0) {
+      m_shared.m_pathLoads[name].Record(load, aNow);
     }
   } else if (RouteAdmission* admission = FindAdmission(aCall)) {
-    admission->RecordLoad(
-      *aCall.m_route, aReport.m_pathLoad, aNow - aCall.m_arrived, aNow);
+    admission->RecordLoad(*aCall.m_route, load, aNow - aCall.m_arrived, aNow);
   }
 }
 
+/* Requests above the rate limit of one host fit at such a host. */
+bool
+RelayEntryFlow::HasUnrestrictedHost(const std::string& aService,
+                                    Instant aNow) const
+{
+  const auto router = m_shared.m_routers.find(aService);
+  return router != m_shared.m_routers.end() &&
+         router->second.HasUnrestrictedHost(aNow);
+}
+
 /* A report stays until the server itself has answered without a restriction, so
    that it outlives a restart of the host's gate. */
 void
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.h
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.h
@@ -91,6 +91,7 @@
                           const RelayReport& aReport,
                           Instant aNow);
   void RecordLoad(const Call& aCall, const RelayReport& aReport, Instant aNow);
+  bool HasUnrestrictedHost(const std::string& aService, Instant aNow) const;
   void RecordServer(const HostName& aHost, const RelayReport& aReport);
   void ReportAttempt(Call& aCall, const AttemptResult& aResult, Instant aNow);
   void FinishUnanswered(Call& aCall, Instant aNow, RelayActions& aActions);
--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -282,11 +282,8 @@
 double
 RelayGateFlow::Load(Instant aNow) const
 {
-  // Requests still running at a closed gate say nothing about its capacity.
-  return m_queue.Limit() > 0
-           ? std::max(m_load.Load(m_queue.Limit(), m_queue.Waiting(), aNow),
-                      m_queue.RateLoad(aNow))
-           : 0;
+  return std::max(SlotLoad(aNow),
+                  m_queue.Limit() > 0 ? m_queue.RateLoad(aNow) : 0);
 }
 
 std::optional<Instant>
@@ -301,6 +298,15 @@
 }
 
 //==============================================================================
+/* Requests still running at a closed gate say nothing about its capacity. */
+double
+RelayGateFlow::SlotLoad(Instant aNow) const
+{
+  return m_queue.Limit() > 0
+           ? m_load.Load(m_queue.Limit(), m_queue.Waiting(), aNow)
+           : 0;
+}
+
 bool
 RelayGateFlow::IsOpen() const
 {
@@ -346,7 +352,7 @@
   const auto call = m_calls.find(aCall);
   aReport.m_gateLoad = Load(aNow);
   aReport.m_pathLoad =
-    std::max(aReport.m_gateLoad,
+    std::max(SlotLoad(aNow),
              m_shared.DownstreamLoad(call->second.m_header.m_route, aNow));
   aReport.m_generation = m_shared.m_routes.ActiveGeneration();
   aReport.m_server = MakeServerReport();
--- a/modules/cr_relay/flow/cr_RelayGateFlow.h
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.h
@@ -67,7 +67,9 @@
   /** Returns the queue, for status reports. */
   const SlotQueue& Queue() const { return m_queue; }
 
-  /** Returns the load of the gate; 0 if it is closed. @see OfferedLoad */
+  /** Returns the load of the gate, relative to the slots or to the rate limit
+      of its server, whichever is greater; 0 if it is closed. @see OfferedLoad,
+      RateLimit */
   double Load(Instant aNow) const;
 
   /** Returns the number of waiting and running requests. */
@@ -88,6 +90,7 @@
   };
 
   bool IsOpen() const;
+  double SlotLoad(Instant aNow) const;
   void ApplyDecisions(GateDecisions& aDecisions,
                       Instant aNow,
                       RelayActions& aActions);
--- a/modules/cr_routing/router/cr_Router.cpp
+++ b/modules/cr_routing/router/cr_Router.cpp
@@ -119,6 +119,17 @@
   return lowest;
 }
 
+bool
+Router::HasUnrestrictedHost(Instant aNow) const
+{
+  return std::any_of(
+    m_entries.begin(), m_entries.end(), [&](const Entry& aEntry) {
+      return !aEntry.m_health.IsEjected(aNow) &&
+             aEntry.m_health.LimitShare() >= 1 &&
+             aEntry.m_health.Level(aNow).value_or(0) == 0;
+    });
+}
+
 //==============================================================================
 void
 Router::RebuildIndex()
--- a/modules/cr_routing/router/cr_Router.h
+++ b/modules/cr_routing/router/cr_Router.h
@@ -61,6 +61,10 @@
       nothing when one of them has no recent level, as it may admit any call. */
   std::optional<AdmissionLevel> LowestLevel(Instant aNow) const;
 
+  /** Returns whether a host that is not ejected has reported neither load nor a
+      rate limit that keeps requests from it. */
+  bool HasUnrestrictedHost(Instant aNow) const;
+
 private:
   struct Entry
   {
