Log line for the era of the platform's store

The adapter decodes Store-Era; store-era names the eras and the versions that the node had read. No decision depends on it yet. The stand-in can save and restore its tables: versions go back and are given out again, and a watch from a version that does not exist gets HistoryLost.

--- a/modules/cr_relay/event/cr_RelayEvent.h
+++ b/modules/cr_relay/event/cr_RelayEvent.h
@@ -93,6 +93,9 @@
 {
   std::uint64_t m_id = 0;
   StoreAnswer m_answer;
+  /** Era in the answer; empty without an answer, or if the platform does not
+      report it. */
+  std::optional<StoreEra> m_era{};
 };
 
 /** A configuration was received from the platform or from another node. */
--- a/modules/cr_relay/flow/cr_RelayControlFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.cpp
@@ -54,6 +54,9 @@
                          Instant aNow,
                          RelayActions& aActions)
 {
+  if (aEvent.m_era && aEvent.m_era != m_era) {
+    OnStoreEra(*aEvent.m_era, aActions);
+  }
   switch (static_cast<Client>(aEvent.m_id % kClientCount)) {
     case Client::Nodes:
       ApplyNodeChanges(
@@ -315,6 +318,24 @@
        aActions);
 }
 
+void
+RelayControlFlow::OnStoreEra(StoreEra aEra, RelayActions& aActions)
+{
+  aActions.emplace_back(LogDecision{
+    "store-era",
+    std::nullopt,
+    fmt::format("\"era\":{},\"before\":{},\"generation\":{},\"nodes\":{},"
+                "\"nodes_version\":{},\"routes_version\":{},\"own_version\":{}",
+                aEra,
+                m_era.value_or(0),
+                m_shared.m_routes.ActiveGeneration(),
+                m_shared.m_directory.Size(),
+                m_nodes.Version(),
+                m_routes.Version(),
+                m_shared.m_directory.VersionOf(m_shared.m_settings.m_host)) });
+  m_era = aEra;
+}
+
 void
 RelayControlFlow::LogPlatformReachability(RelayActions& aActions)
 {
--- a/modules/cr_relay/flow/cr_RelayControlFlow.h
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.h
@@ -79,6 +79,7 @@
   void HandleOwnRowAnswer(const StoreAnswer& aAnswer, Instant aNow);
   void WriteOwnRow(Instant aNow, RelayActions& aActions);
   void RemoveUnreachableRow(Instant aNow, RelayActions& aActions);
+  void OnStoreEra(StoreEra aEra, RelayActions& aActions);
   void LogPlatformReachability(RelayActions& aActions);
   bool IsOwnRowCurrent() const;
   Instant RemovalTime(const HostName& aHost, Instant aUnreachableSince) const;
@@ -87,6 +88,7 @@
   TableFollower m_nodes;
   TableFollower m_routes;
   std::uint64_t m_calls = 0;
+  std::optional<StoreEra> m_era;
 
   NodeRow m_ownRow;
   StoreBackoff m_rowPace;
--- a/modules/cr_relay_server/protocol/cr_RelayProtocolAdapter.h
+++ b/modules/cr_relay_server/protocol/cr_RelayProtocolAdapter.h
@@ -34,6 +34,8 @@
   std::string m_rateLimit = "Cr-Server-Limit";
   /** In an answer: "1" if the backend server is leaving. */
   std::string m_isLeaving = "Cr-Server-Leaving";
+  /** In an answer of the platform: the era of its tables, a whole number. */
+  std::string m_storeEra = "Cr-Store-Era";
 };
 
 /** Message from a backend server at the control port. */
--- a/modules/cr_relay_server/server/cr_RelayShell.h
+++ b/modules/cr_relay_server/server/cr_RelayShell.h
@@ -84,6 +84,7 @@
   void OnForwardCompleted(CallId aCall, HttpResult&& aResult);
   void OnDispatchCompleted(CallId aCall, HttpResult&& aResult);
   std::optional<ServerCondition> ReadCondition(const HttpResult& aResult);
+  std::optional<StoreEra> ReadStoreEra(const HttpResult& aResult);
   void OnHealthChecked(const HttpResult& aResult);
   void LoadRoutes(std::string_view aDocument, std::string_view aSource);
   DispatchResult ClassifyResult(PendingCall* aPendingCall,
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -377,12 +377,31 @@
         StoreAnswer answer =
           self->m_adapter.m_readStoreAnswer(action.m_request, aResult);
         self->m_metrics.CountStore(action.m_request, answer);
-        self->ProcessEvent(
-          RelayStoreAnswered{ action.m_id, std::move(answer) });
+        self->ProcessEvent(RelayStoreAnswered{
+          action.m_id, std::move(answer), self->ReadStoreEra(aResult) });
       }
     });
 }
 
+/* Returns nothing without an answer that names the era. */
+std::optional<StoreEra>
+RelayServer::Implementation::ReadStoreEra(const HttpResult& aResult)
+{
+  const auto* response = std::get_if<HttpResponse>(&aResult);
+  if (response == nullptr) {
+    return std::nullopt;
+  }
+  const std::string_view text =
+    FindHeader(response->m_headers, m_adapter.m_headers.m_storeEra);
+  const auto era = ParseNumber<StoreEra>(text);
+  if (!era && !text.empty()) {
+    m_log.Write("malformed",
+                fmt::format("\"why\":\"store era\",\"text\":{}",
+                            QuoteJson(std::string(text))));
+  }
+  return era;
+}
+
 void
 RelayServer::Implementation::Execute(const ReadRoutes& aAction)
 {
--- a/modules/cr_store/follow/cr_TableFollower.h
+++ b/modules/cr_store/follow/cr_TableFollower.h
@@ -51,6 +51,9 @@
       succeeded. */
   bool IsConnected() const { return m_isLoaded && m_backoff.Failures() == 0; }
 
+  /** Returns the version up to which the table has been read. */
+  RowVersion Version() const { return m_version; }
+
 private:
   TableChanges HandlePage(const RowPage& aPage);
   void DelayToBatchChanges(Instant aNow);
--- a/modules/cr_store/table/cr_InProcessPlatform.cpp
+++ b/modules/cr_store/table/cr_InProcessPlatform.cpp
@@ -25,15 +25,17 @@
     return failed;
   }
   for (const RowWrite& write : aRequest.m_writes) {
-    std::erase_if(m_history, [&](const auto& aChange) {
+    std::erase_if(m_tables.m_history, [&](const auto& aChange) {
       return aChange.second == write.m_row;
     });
-    m_history.emplace(++m_lastVersion, write.m_row);
+    m_tables.m_history.emplace(++m_tables.m_lastVersion, write.m_row);
     if (!write.m_value) {
-      m_rows.erase(write.m_row);
+      m_tables.m_rows.erase(write.m_row);
       continue;
     }
-    m_rows[write.m_row] = { write.m_row.m_key, *write.m_value, m_lastVersion };
+    m_tables.m_rows[write.m_row] = { write.m_row.m_key,
+                                     *write.m_value,
+                                     m_tables.m_lastVersion };
   }
   return Committed{};
 }
@@ -42,26 +44,49 @@
 InProcessPlatform::Compact()
 {
   const std::lock_guard lock(m_mutex);
-  m_history.clear();
-  m_historyStart = m_lastVersion;
+  m_tables.m_history.clear();
+  m_tables.m_historyStart = m_tables.m_lastVersion;
+}
+
+void
+InProcessPlatform::Save()
+{
+  const std::lock_guard lock(m_mutex);
+  m_copy = m_tables;
+}
+
+void
+InProcessPlatform::Restore()
+{
+  const std::lock_guard lock(m_mutex);
+  m_tables = m_copy;
+  ++m_era;
+}
+
+StoreEra
+InProcessPlatform::Era() const
+{
+  const std::lock_guard lock(m_mutex);
+  return m_era;
 }
 
 StoreAnswer
 InProcessPlatform::Handle(const WatchRequest& aRequest) const
 {
-  if (aRequest.m_after < m_historyStart) {
+  if (aRequest.m_after < m_tables.m_historyStart ||
+      aRequest.m_after > m_tables.m_lastVersion) {
     return HistoryLost{};
   }
   RowChanges changes;
-  changes.m_version = m_lastVersion;
-  for (auto change = m_history.upper_bound(aRequest.m_after);
-       change != m_history.end();
+  changes.m_version = m_tables.m_lastVersion;
+  for (auto change = m_tables.m_history.upper_bound(aRequest.m_after);
+       change != m_tables.m_history.end();
        ++change) {
     if (change->second.m_table != aRequest.m_table) {
       continue;
     }
-    const auto row = m_rows.find(change->second);
-    if (row != m_rows.end()) {
+    const auto row = m_tables.m_rows.find(change->second);
+    if (row != m_tables.m_rows.end()) {
       changes.m_changes.push_back({ row->second, false });
     } else {
       changes.m_changes.push_back(
@@ -75,11 +100,12 @@
 InProcessPlatform::Handle(const ScanRequest& aRequest) const
 {
   RowPage page;
-  page.m_version = m_lastVersion;
+  page.m_version = m_tables.m_lastVersion;
   const std::string& from = std::max(aRequest.m_after, aRequest.m_prefix);
-  auto row = m_rows.lower_bound({ aRequest.m_table, from });
-  for (; row != m_rows.end() && row->first.m_table == aRequest.m_table &&
-         row->first.m_key.starts_with(aRequest.m_prefix);
+  auto row = m_tables.m_rows.lower_bound({ aRequest.m_table, from });
+  for (;
+       row != m_tables.m_rows.end() && row->first.m_table == aRequest.m_table &&
+       row->first.m_key.starts_with(aRequest.m_prefix);
        ++row) {
     if (row->first.m_key == aRequest.m_after) {
       continue;
@@ -96,8 +122,8 @@
 StoreAnswer
 InProcessPlatform::Handle(const ReadRequest& aRequest) const
 {
-  const auto row = m_rows.find(aRequest.m_row);
-  if (row == m_rows.end()) {
+  const auto row = m_tables.m_rows.find(aRequest.m_row);
+  if (row == m_tables.m_rows.end()) {
     return RowFound{};
   }
   return RowFound{ row->second };
@@ -123,8 +149,8 @@
 RowVersion
 InProcessPlatform::VersionOf(const RowKey& aRow) const
 {
-  const auto row = m_rows.find(aRow);
-  return row == m_rows.end() ? 0 : row->second.m_version;
+  const auto row = m_tables.m_rows.find(aRow);
+  return row == m_tables.m_rows.end() ? 0 : row->second.m_version;
 }
 
 }
--- a/modules/cr_store/table/cr_StoreRequest.h
+++ b/modules/cr_store/table/cr_StoreRequest.h
@@ -15,6 +15,11 @@
     a row increases its version. */
 using RowVersion = std::uint64_t;
 
+/** Number of times that the platform has restored its tables from an older
+   copy. Acknowledged writes may be lost and versions may be given out again
+   each time, so versions of different eras can't be compared. */
+using StoreEra = std::uint64_t;
+
 /** Identifies a row by its table and its key within the table. */
 struct RowKey
 {
--- a/stand_ins/platform_stand_in/server/cr_PlatformServer.cpp
+++ b/stand_ins/platform_stand_in/server/cr_PlatformServer.cpp
@@ -97,8 +97,11 @@
   if (faults.m_loseEvery != 0 && total % faults.m_loseEvery == 0) {
     return;
   }
-  aResponder.Send(
-    MakeTextResponse(kHttpOk, EncodeStoreAnswer(answer), "application/json"));
+  HttpResponse response =
+    MakeTextResponse(kHttpOk, EncodeStoreAnswer(answer), "application/json");
+  response.m_headers.push_back(
+    { "Cr-Store-Era", std::to_string(aState->m_platform.Era()) });
+  aResponder.Send(std::move(response));
 }
 
 template<typename StatePointer>
@@ -173,6 +176,18 @@
   m_state->m_platform.Compact();
 }
 
+void
+PlatformServer::Save()
+{
+  m_state->m_platform.Save();
+}
+
+void
+PlatformServer::Restore()
+{
+  m_state->m_platform.Restore();
+}
+
 PlatformLoad
 PlatformServer::Load() const
 {
--- a/stand_ins/platform_stand_in/server/cr_PlatformServer.h
+++ b/stand_ins/platform_stand_in/server/cr_PlatformServer.h
@@ -52,6 +52,12 @@
   /** Discards the change history of the rows up to now. */
   void Compact();
 
+  /** Keeps a copy of the rows for Restore(). */
+  void Save();
+
+  /** Loses what was written after Save() and starts a new era. */
+  void Restore();
+
   //==========================================================================
   /** Returns the requests counted so far. */
   PlatformLoad Load() const;
