--- a/modules/cr_relay/tests/cr_RelayControlFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayControlFlowTest.cpp
@@ -1,52 +1,12 @@
 #include <gtest/gtest.h>
 
-#include "tests/cr_RelayTestNode.h"
+#include "tests/cr_RelayTestControl.h"
 
 namespace cr {
 
 namespace {
 
-/* A node with a platform that may refuse requests, lose answers or be late. */
-struct Control : RelayTestNode
-{
-  /* Answers the pending requests; watches without changes stay pending. */
-  void AnswerStoreCalls()
-  {
-    for (int round = 0; round < 4; ++round) {
-      std::vector<RelayCallStore> calls = TakeActions<RelayCallStore>();
-      calls.insert(calls.end(), m_watches.begin(), m_watches.end());
-      m_watches.clear();
-      for (const RelayCallStore& call : calls) {
-        const StoreAnswer answer = m_platform.Execute(call.m_request);
-        const auto* changes = std::get_if<RowChanges>(&answer);
-        if (changes != nullptr && changes->m_changes.empty()) {
-          m_watches.push_back(call);
-        } else {
-          Feed(RelayStoreAnswered{ call.m_id, answer });
-        }
-      }
-    }
-  }
-
-  std::optional<NodeRow> OwnRow()
-  {
-    const auto found = std::get<RowFound>(
-      m_platform.Execute(ReadRequest{ { std::string(kNodeTable), "host-1" } }));
-    if (!found.m_row) {
-      return std::nullopt;
-    }
-    return *DecodeNodeRow(found.m_row->m_value);
-  }
-
-  void AdvanceTime(Duration aTime)
-  {
-    m_now += aTime;
-    Feed(RelayTimerDue{});
-  }
-
-  InProcessPlatform m_platform;
-  std::vector<RelayCallStore> m_watches;
-};
+using Control = RelayTestControl;
 
 TEST(RelayControlFlow, OwnRowReflectsTheServerState)
 {
--- /dev/null
+++ b/modules/cr_relay/tests/cr_RelayStoreRestorationTest.cpp
@@ -0,0 +1,186 @@
+#include <gtest/gtest.h>
+
+#include "tests/cr_RelayTestControl.h"
+
+namespace cr {
+
+namespace {
+
+/* Incident CONFIG: the platform comes back from an older copy and gives
+   versions out again. */
+struct Restoration : RelayTestControl
+{
+  Restoration()
+  {
+    AdoptRoutes(2,
+                { RelayTestNode::Route("orders", true),
+                  RelayTestNode::Route("stock", true) });
+    WriteRow("host-2", "orders");
+    AnswerStoreCalls();
+    m_platform.Save();
+  }
+
+  bool IsForwarded(const std::string& aTarget)
+  {
+    TakeActions<ForwardRequest>();
+    Request(aTarget);
+    return !TakeActions<ForwardRequest>().empty();
+  }
+
+  std::optional<ServerState> OwnState()
+  {
+    const auto row = OwnRow();
+    return row ? std::optional(row->m_state) : std::nullopt;
+  }
+};
+
+TEST(RelayStoreRestoration, VersionsGivenOutAgainHideNoRows)
+{
+  Restoration node;
+  node.WriteRow("host-3", "orders");
+  node.Run(Seconds(1));
+  node.RestorePlatform();
+  node.WriteRow("host-4", "stock");
+  node.WriteRow("host-3", "orders");
+  node.Run(Seconds(3));
+  EXPECT_TRUE(node.IsForwarded("/stock/1"));
+}
+
+TEST(RelayStoreRestoration, OwnRowThatIsLostIsWrittenAgain)
+{
+  Restoration node;
+  node.Announce(10);
+  node.Run(Seconds(1));
+  ASSERT_EQ(node.OwnState(), ServerState::Ready);
+  node.RestorePlatform();
+  node.WriteRow("host-3", "orders");
+  node.WriteRow("host-4", "orders");
+  node.Run(Seconds(5));
+  EXPECT_EQ(node.OwnState(), ServerState::Ready);
+}
+
+TEST(RelayStoreRestoration, LeaveThatIsLostIsWrittenAgain)
+{
+  Restoration node;
+  node.Announce(10);
+  node.Run(Seconds(1));
+  node.m_platform.Save();
+  node.Announce(10, 2, true);
+  node.Run(Seconds(1));
+  ASSERT_EQ(node.OwnState(), ServerState::Leaving);
+  node.RestorePlatform();
+  ASSERT_EQ(node.OwnState(), ServerState::Ready);
+  node.WriteRow("host-3", "orders");
+  node.WriteRow("host-4", "orders");
+  node.Run(Seconds(5));
+  EXPECT_EQ(node.OwnState(), ServerState::Leaving);
+}
+
+/* The nodes of these rows need a moment to write them again. */
+TEST(RelayStoreRestoration, HostsWhoseRowsAreLostStayInUse)
+{
+  Restoration node;
+  node.WriteRow("host-3", "stock");
+  node.Run(Seconds(1));
+  node.RestorePlatform();
+  node.Run(Seconds(3));
+  EXPECT_TRUE(node.IsForwarded("/stock/1"));
+  // host-3 is gone for good.
+  node.Run(Seconds(40));
+  EXPECT_FALSE(node.IsForwarded("/stock/1"));
+}
+
+TEST(RelayStoreRestoration, LeaveOfAnotherHostIsNotUndone)
+{
+  Restoration node;
+  node.WriteRow("host-3", "stock");
+  node.Run(Seconds(1));
+  node.m_platform.Save();
+  NodeRow row = RelayTestNode::ReadyRow("host-3", "stock");
+  row.m_state = ServerState::Leaving;
+  ++row.m_revision;
+  node.m_platform.Execute(TransactRequest{
+    {}, { { { std::string(kNodeTable), "host-3" }, EncodeNodeRow(row) } } });
+  node.Run(Seconds(1));
+  ASSERT_FALSE(node.IsForwarded("/stock/1"));
+  node.RestorePlatform();
+  node.Run(Seconds(3));
+  EXPECT_FALSE(node.IsForwarded("/stock/1"));
+}
+
+/* A watch sent in the new era with a version of the former one may stay pending
+   for many seconds. */
+TEST(RelayStoreRestoration, APendingWatchDoesNotDelayTheNextScan)
+{
+  Restoration node;
+  node.Announce(10);
+  node.Run(Seconds(1));
+  node.m_platform.Restore();
+  node.WriteRow("host-4", "stock");
+  node.WriteRow("host-3", "orders");
+  // The answer to the write of the own row names the new era; the watches of
+  // both tables are not answered.
+  const auto watches = std::exchange(node.m_watches, {});
+  ASSERT_EQ(watches.size(), 2U);
+  node.Announce(10, 2, true);
+  node.Run(Seconds(3));
+  EXPECT_TRUE(node.IsForwarded("/stock/1"));
+  EXPECT_EQ(node.OwnState(), ServerState::Leaving);
+}
+
+/* Its condition may hold, because the version is given out again. */
+TEST(RelayStoreRestoration, WriteOfAnEarlierEraThatExecutesLateIsCorrected)
+{
+  Restoration node;
+  node.Announce(10);
+  node.Run(Seconds(1));
+  node.Announce(10, 2, true);
+  const auto late = node.TakeActions<RelayCallStore>();
+  ASSERT_EQ(late.size(), 1U);
+  const auto version =
+    std::get<TransactRequest>(late[0].m_request).m_conditions.at(0).m_version;
+  node.Feed(RelayStoreAnswered{ late[0].m_id, StoreFailed{ "lost" } });
+  node.RestorePlatform();
+  ServerAnnouncement again;
+  again.m_id = "server-2";
+  again.m_service = "orders";
+  again.m_slots = 10;
+  again.m_startTime = 2000;
+  node.Feed(BackendAnnounced{ again });
+  node.Run(Seconds(5));
+  const auto found = std::get<RowFound>(node.m_platform.Execute(
+    ReadRequest{ { std::string(kNodeTable), "host-1" } }));
+  ASSERT_TRUE(found.m_row);
+  EXPECT_EQ(found.m_row->m_version, version);
+  EXPECT_TRUE(std::holds_alternative<Committed>(
+    node.m_platform.Execute(late[0].m_request)));
+  EXPECT_EQ(node.OwnState(), ServerState::Leaving);
+  node.Run(Seconds(5));
+  EXPECT_EQ(node.OwnState(), ServerState::Ready);
+}
+
+TEST(RelayStoreRestoration, LateAnswerOfTheFormerEraIsNotUsed)
+{
+  Restoration node;
+  node.WriteRow("host-3", "stock");
+  const auto watches = std::exchange(node.m_watches, {});
+  std::vector<StoreAnswer> answers;
+  for (const RelayCallStore& watch : watches) {
+    answers.push_back(node.m_platform.Execute(watch.m_request));
+  }
+  node.m_platform.Restore();
+  node.Announce(10);
+  node.Run(Seconds(2));
+  for (std::size_t index = 0; index < watches.size(); ++index) {
+    node.Feed(RelayStoreAnswered{ watches[index].m_id, answers[index], 1 });
+  }
+  node.Run(Seconds(2));
+  EXPECT_FALSE(node.IsForwarded("/stock/1"));
+  node.WriteRow("host-4", "stock");
+  node.Run(Seconds(1));
+  EXPECT_TRUE(node.IsForwarded("/stock/1"));
+}
+
+}
+
+}
