Versions of a former era of the platform's store are no longer used

Class: a counter compared across a reset of the one who counts.

The first answer that names a higher era makes the node read both tables again, at once though watches may be pending, ignore answers to calls sent before, and hold back writes with a condition until the nodes are read. Without the header nothing changes.

New: CopyIsTrueThoughThePlatformComesBackFromACopy (random restorations).

--- a/modules/cr_relay/flow/cr_RelayControlFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.cpp
@@ -1,6 +1,7 @@
 #include "cr_relay/flow/cr_RelayControlFlow.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -8,7 +9,6 @@
 
 namespace {
 
-constexpr std::uint64_t kClientCount = 4;
 /* Min time between two requests to other nodes for their routes. */
 constexpr Duration kMinPeerFetchInterval = Milliseconds(100);
 /* A written row that the cached table does not show after this time is written
@@ -54,10 +54,15 @@
                          Instant aNow,
                          RelayActions& aActions)
 {
-  if (aEvent.m_era && aEvent.m_era != m_era) {
-    OnStoreEra(*aEvent.m_era, aActions);
+  if (aEvent.m_era && aEvent.m_era > m_era) {
+    OnStoreEra(*aEvent.m_era, aNow, aActions);
   }
-  switch (static_cast<Client>(aEvent.m_id % kClientCount)) {
+  const std::size_t client = aEvent.m_id % kClientCount;
+  if (m_pendingCalls.at(client) != aEvent.m_id) {
+    return;
+  }
+  m_pendingCalls.at(client) = 0;
+  switch (static_cast<Client>(client)) {
     case Client::Nodes:
       ApplyNodeChanges(
         m_nodes.HandleAnswer(aEvent.m_answer, aNow), aNow, aActions);
@@ -155,12 +160,12 @@
   for (const auto& follower : { m_nodes.NextWakeup(), m_routes.NextWakeup() }) {
     due = std::min(due, follower.value_or(Instant::max()));
   }
-  if (m_nodes.IsLoaded() && !m_isWritingRow && !IsOwnRowCurrent()) {
+  if (!m_nodes.IsScanning() && !m_isWritingRow && !IsOwnRowCurrent()) {
     due = std::min(due,
                    m_isRowWritten ? m_rowWritten + kRowVisibilityTimeout
                                   : m_rowPace.NotBefore());
   }
-  if (m_nodes.IsConnected() && !m_isRemovingRow) {
+  if (CanRemoveRows()) {
     for (const auto& [host, unreachable] : m_shared.m_unreachableHosts) {
       due = std::min(due, RemovalTime(host, unreachable.m_since));
     }
@@ -188,6 +193,7 @@
 {
   const std::uint64_t id =
     ++m_calls * kClientCount + static_cast<std::uint64_t>(aClient);
+  m_pendingCalls.at(static_cast<std::size_t>(aClient)) = id;
   aActions.emplace_back(RelayCallStore{ id, std::move(aRequest) });
 }
 
@@ -272,8 +278,8 @@
 {
   const bool isAwaited =
     m_isRowWritten && aNow < m_rowWritten + kRowVisibilityTimeout;
-  if (!m_nodes.IsLoaded() || m_isWritingRow || IsOwnRowCurrent() || isAwaited ||
-      aNow < m_rowPace.NotBefore()) {
+  if (m_nodes.IsScanning() || m_isWritingRow || IsOwnRowCurrent() ||
+      isAwaited || aNow < m_rowPace.NotBefore()) {
     return;
   }
   const HostName& host = m_shared.m_settings.m_host;
@@ -291,7 +297,7 @@
 void
 RelayControlFlow::RemoveUnreachableRow(Instant aNow, RelayActions& aActions)
 {
-  if (m_isRemovingRow || !m_nodes.IsConnected()) {
+  if (!CanRemoveRows()) {
     return;
   }
   auto& unreachable = m_shared.m_unreachableHosts;
@@ -319,7 +325,9 @@
 }
 
 void
-RelayControlFlow::OnStoreEra(StoreEra aEra, RelayActions& aActions)
+RelayControlFlow::OnStoreEra(StoreEra aEra,
+                             Instant aNow,
+                             RelayActions& aActions)
 {
   aActions.emplace_back(LogDecision{
     "store-era",
@@ -333,7 +341,24 @@
                 m_nodes.Version(),
                 m_routes.Version(),
                 m_shared.m_directory.VersionOf(m_shared.m_settings.m_host)) });
-  m_era = aEra;
+  if (std::exchange(m_era, aEra)) {
+    OnStoreRestored(aNow);
+  }
+}
+
+/* Rows may have changed, and versions known so far may belong to other rows. So
+   answers to pending calls are ignored, and no condition is sent until the
+   nodes have been read again. */
+void
+RelayControlFlow::OnStoreRestored(Instant aNow)
+{
+  m_pendingCalls.fill(0);
+  m_nodes.Restart(aNow);
+  m_routes.Restart(aNow);
+  m_isWritingRow = false;
+  m_isRowWritten = false;
+  m_ownVersion = 0;
+  m_isRemovingRow = false;
 }
 
 void
@@ -361,6 +386,12 @@
          Duration(static_cast<Duration::rep>(share));
 }
 
+bool
+RelayControlFlow::CanRemoveRows() const
+{
+  return m_nodes.IsConnected() && !m_nodes.IsScanning() && !m_isRemovingRow;
+}
+
 bool
 RelayControlFlow::IsOwnRowCurrent() const
 {
--- a/modules/cr_relay/flow/cr_RelayControlFlow.h
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <optional>
 #include <string>
 
@@ -69,6 +70,7 @@
     OwnRow,
     UnreachableRow
   };
+  static constexpr std::size_t kClientCount = 4;
 
   void Call(Client aClient, StoreRequest aRequest, RelayActions& aActions);
   void ApplyNodeChanges(const TableChanges& aTableChanges,
@@ -79,8 +81,10 @@
   void HandleOwnRowAnswer(const StoreAnswer& aAnswer, Instant aNow);
   void WriteOwnRow(Instant aNow, RelayActions& aActions);
   void RemoveUnreachableRow(Instant aNow, RelayActions& aActions);
-  void OnStoreEra(StoreEra aEra, RelayActions& aActions);
+  void OnStoreEra(StoreEra aEra, Instant aNow, RelayActions& aActions);
+  void OnStoreRestored(Instant aNow);
   void LogPlatformReachability(RelayActions& aActions);
+  bool CanRemoveRows() const;
   bool IsOwnRowCurrent() const;
   Instant RemovalTime(const HostName& aHost, Instant aUnreachableSince) const;
 
@@ -88,6 +92,9 @@
   TableFollower m_nodes;
   TableFollower m_routes;
   std::uint64_t m_calls = 0;
+  /* Identifier of each client's pending call; 0 if there is none whose answer
+     counts. */
+  std::array<std::uint64_t, kClientCount> m_pendingCalls{};
   std::optional<StoreEra> m_era;
 
   NodeRow m_ownRow;
--- a/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
@@ -15,7 +15,6 @@
   {
     AdoptRoutes(1, { Route("orders", true) });
     Announce(aSlots);
-    TakeActions<RelayCallStore>();
   }
 
   RelayReport TakeReport()
--- a/modules/cr_store/follow/cr_TableFollower.cpp
+++ b/modules/cr_store/follow/cr_TableFollower.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::uint32_t kMaxPageRows = 500;
 /* Spreads the rescans of a fleet's nodes, since the platform drops its change
-   history for all of them at once. */
+   history, or comes back from a copy, for all of them at once. */
 constexpr Duration kRescanJitter = Milliseconds(300);
 /* A change that arrives later than this after the start of its call is not part
    of a rapid series. */
@@ -67,19 +67,34 @@
   if (m_isScanning || std::holds_alternative<HistoryLost>(aAnswer)) {
     // Pages of an interrupted scan show the table at different times, so the
     // scan starts over.
-    m_isScanning = true;
-    m_scanAfter.clear();
-    m_scanned = {};
+    StartScan();
   }
   return {};
 }
 
+void
+TableFollower::Restart(Instant aNow)
+{
+  m_isCallPending = false;
+  m_backoff.DelayNext(Duration::zero(), kRescanJitter, aNow);
+  StartScan();
+}
+
 std::optional<Instant>
 TableFollower::NextWakeup() const
 {
   return m_isCallPending ? std::nullopt : std::optional(m_backoff.NotBefore());
 }
 
+//==============================================================================
+void
+TableFollower::StartScan()
+{
+  m_isScanning = true;
+  m_scanAfter.clear();
+  m_scanned = {};
+}
+
 void
 TableFollower::DelayToBatchChanges(Instant aNow)
 {
--- a/modules/cr_store/follow/cr_TableFollower.h
+++ b/modules/cr_store/follow/cr_TableFollower.h
@@ -22,7 +22,8 @@
     watches it for changes with one call at a time, and rescans it when the
     platform no longer has the change history. While changes follow one another
     rapidly, as when a fleet starts, it delays its calls so that one call
-    returns several changes. Not thread safe. */
+    returns several changes. The owner restarts it in a new era of the
+    platform. Not thread safe. */
 class TableFollower
 {
 public:
@@ -39,6 +40,10 @@
   /** Processes the answer to the latest call and returns the changes in it. */
   TableChanges HandleAnswer(const StoreAnswer& aAnswer, Instant aNow);
 
+  /** Scans the table again, because versions read so far are no longer valid.
+      The answer to a pending call must not be passed to HandleAnswer(). */
+  void Restart(Instant aNow);
+
   //==========================================================================
   /** Returns the time at which NextCall() is next due; nothing while a call is
       pending. */
@@ -47,6 +52,9 @@
   /** Returns whether the whole table has been read at least once. */
   bool IsLoaded() const { return m_isLoaded; }
 
+  /** Returns whether a scan of the whole table is due or in progress. */
+  bool IsScanning() const { return m_isScanning; }
+
   /** Returns whether the table is loaded and the last completed call
       succeeded. */
   bool IsConnected() const { return m_isLoaded && m_backoff.Failures() == 0; }
@@ -56,6 +64,7 @@
 
 private:
   TableChanges HandlePage(const RowPage& aPage);
+  void StartScan();
   void DelayToBatchChanges(Instant aNow);
 
   std::string m_table;
--- a/modules/cr_store/tests/cr_TableFollowerTest.cpp
+++ b/modules/cr_store/tests/cr_TableFollowerTest.cpp
@@ -89,6 +89,64 @@
   RC_ASSERT(follower.IsConnected());
 }
 
+/* Incident CONFIG: versions are given out again before a watch resumes. Answers
+   name the era, as do refusals; a silent platform does not. */
+RC_GTEST_PROP(TableFollower, CopyIsTrueThoughThePlatformComesBackFromACopy, ())
+{
+  InProcessPlatform platform;
+  TableFollower follower(kTable, 3);
+  Copy copy;
+  StoreEra era = platform.Era();
+  Instant now;
+  const auto call = [&](bool aIsAnswered) {
+    const auto request = follower.NextCall(now);
+    if (!request) {
+      return;
+    }
+    const StoreAnswer answer = platform.Execute(*request);
+    if (!aIsAnswered) {
+      copy.Apply(follower.HandleAnswer(StoreFailed{ "silent" }, now));
+    } else if (std::exchange(era, platform.Era()) != platform.Era()) {
+      follower.Restart(now);
+    } else {
+      copy.Apply(follower.HandleAnswer(answer, now));
+    }
+  };
+  const int steps = *rc::gen::inRange(1, 200);
+  for (int step = 0; step < steps; ++step) {
+    const std::string key = std::to_string(*rc::gen::inRange(0, 6));
+    switch (*rc::gen::inRange(0, 8)) {
+      case 0:
+        platform.Save();
+        break;
+      case 1:
+        platform.Restore();
+        break;
+      case 2:
+        Write(platform, key, std::nullopt);
+        break;
+      default:
+        Write(platform, key, std::to_string(step));
+    }
+    if (*rc::gen::inRange(0, 2) == 0) {
+      call(*rc::gen::inRange(0, 4) != 0);
+    }
+    now += Milliseconds(*rc::gen::inRange(0, 400));
+  }
+  for (int rest = 0; rest < 3; ++rest) {
+    now += 2 * StoreBackoff::kMaxMeanDelay;
+    call(true);
+  }
+  std::map<std::string, std::string> expected;
+  const StoreAnswer table =
+    platform.Execute(ScanRequest{ kTable, "", 100, "" });
+  for (const Row& row : std::get<RowPage>(table).m_rows) {
+    expected[row.m_key] = row.m_value;
+  }
+  RC_ASSERT(copy.m_rows == expected);
+  RC_ASSERT(follower.IsConnected());
+}
+
 TEST(TableFollower, AChangeBetweenTwoPagesIsNotMissed)
 {
   InProcessPlatform platform;
