Rows that the platform has lost do not count as removed

What callers saw: in the tests, after a restoration no host of a service was known whose rows had been written in the lost seconds, and requests went to a host whose leave was lost. Cause: the table read again was taken for the truth, though the nodes concerned write their rows again only a moment later, when they have reached the store. Class: absence of a record taken for a decision.

In the first 20 s of an era a known row stays if it is newer than the restored one; a node writes its own row again unless the table is known to hold it. Rows that nobody has written by then are dropped with one more scan, which takes place only if there are any. Weighed and left: requests to lost hosts until they are unreachable only, as the view would then differ from the table for good.

--- a/modules/cr_membership/directory/cr_FleetDirectory.cpp
+++ b/modules/cr_membership/directory/cr_FleetDirectory.cpp
@@ -1,5 +1,8 @@
 #include "cr_membership/directory/cr_FleetDirectory.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace cr {
 
 std::vector<UnreadableRow>
@@ -26,6 +29,24 @@
   return unreadable;
 }
 
+std::vector<UnreadableRow>
+FleetDirectory::ApplyRestored(const TableChanges& aSnapshot)
+{
+  auto known = std::exchange(m_nodes, {});
+  std::vector<UnreadableRow> unreadable = Apply(aSnapshot);
+  for (auto& [host, entry] : known) {
+    const auto restored = m_nodes.find(host);
+    if (restored != m_nodes.end() &&
+        !IsNewer(entry.m_row, restored->second.m_row)) {
+      continue;
+    }
+    entry.m_version = VersionOf(host);
+    entry.m_isStored = false;
+    m_nodes.insert_or_assign(host, std::move(entry));
+  }
+  return unreadable;
+}
+
 std::map<std::string, std::vector<NodeRow>>
 FleetDirectory::ReadyByService() const
 {
@@ -55,6 +76,21 @@
   return entry != m_nodes.end() ? entry->second.m_version : 0;
 }
 
+bool
+FleetDirectory::IsStored(const HostName& aHost) const
+{
+  const auto entry = m_nodes.find(aHost);
+  return entry != m_nodes.end() && entry->second.m_isStored;
+}
+
+bool
+FleetDirectory::HasLostRows() const
+{
+  return std::any_of(m_nodes.begin(), m_nodes.end(), [](const auto& aNode) {
+    return !aNode.second.m_isStored;
+  });
+}
+
 const NodeRow*
 FleetDirectory::Find(const HostName& aHost) const
 {
--- a/modules/cr_membership/directory/cr_FleetDirectory.h
+++ b/modules/cr_membership/directory/cr_FleetDirectory.h
@@ -16,7 +16,8 @@
   std::string m_text;
 };
 
-/** All nodes listed in the platform's node table. The data may be stale: use it
+/** All nodes listed in the platform's node table, and for a time those that the
+    table has lost. The data may be stale: use it
     to choose hosts, not where correctness depends on it. Not thread safe. */
 class FleetDirectory
 {
@@ -25,6 +26,13 @@
       decoded; they are left out of the directory. */
   std::vector<UnreadableRow> Apply(const TableChanges& aChanges);
 
+  /** Applies a snapshot of a table that may have lost rows. A known row stays
+      if it is newer than the one in the snapshot or if the snapshot has none;
+      it does not count as stored until a change brings it again. Returns the
+      rows that could not be decoded.
+      @pre aSnapshot.m_isSnapshot */
+  std::vector<UnreadableRow> ApplyRestored(const TableChanges& aSnapshot);
+
   //==========================================================================
   /** Returns the rows of the nodes whose backend server is ready, grouped by
       service and ordered by host. */
@@ -40,6 +48,12 @@
       Apply(). */
   const NodeRow* Find(const HostName& aHost) const;
 
+  /** Returns whether the host has a row and the table is known to hold it. */
+  bool IsStored(const HostName& aHost) const;
+
+  /** Returns whether there are rows that the table has lost. */
+  bool HasLostRows() const;
+
   /** Returns the number of nodes. */
   std::size_t Size() const { return m_nodes.size(); }
 
@@ -48,6 +62,8 @@
   {
     NodeRow m_row;
     RowVersion m_version = 0;
+    /* The table holds this row, in this state. */
+    bool m_isStored = true;
   };
 
   std::map<HostName, Entry> m_nodes;
--- a/modules/cr_relay/flow/cr_RelayControlFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.cpp
@@ -20,6 +20,9 @@
 /* Each node adds a delay within this time before it removes a row, because one
    removal suffices. */
 constexpr Duration kRowRemovalSpread = Seconds(10);
+/* In this time after a restoration of the platform, nodes that can reach it
+   write their rows again. */
+constexpr Duration kLostRowGrace = Seconds(20);
 
 RouteTarget
 ToTarget(const NodeRow& aRow)
@@ -143,6 +146,7 @@
 void
 RelayControlFlow::Advance(Instant aNow, RelayActions& aActions)
 {
+  DropLostRows(aNow, aActions);
   if (auto call = m_routes.NextCall(aNow)) {
     Call(Client::Routes, std::move(*call), aActions);
   }
@@ -165,6 +169,9 @@
                    m_isRowWritten ? m_rowWritten + kRowVisibilityTimeout
                                   : m_rowPace.NotBefore());
   }
+  if (!m_nodes.IsScanning() && m_shared.m_directory.HasLostRows()) {
+    due = std::min(due, m_keepLostRowsUntil);
+  }
   if (CanRemoveRows()) {
     for (const auto& [host, unreachable] : m_shared.m_unreachableHosts) {
       due = std::min(due, RemovalTime(host, unreachable.m_since));
@@ -205,7 +212,12 @@
   if (aTableChanges.m_changes.empty() && !aTableChanges.m_isSnapshot) {
     return;
   }
-  for (const UnreadableRow& row : m_shared.m_directory.Apply(aTableChanges)) {
+  FleetDirectory& directory = m_shared.m_directory;
+  const bool mayHaveLostRows =
+    aTableChanges.m_isSnapshot && aNow < m_keepLostRowsUntil;
+  for (const UnreadableRow& row : mayHaveLostRows
+                                    ? directory.ApplyRestored(aTableChanges)
+                                    : directory.Apply(aTableChanges)) {
     aActions.emplace_back(LogDecision{
       "unreadable-row",
       std::nullopt,
@@ -359,6 +371,22 @@
   m_isRowWritten = false;
   m_ownVersion = 0;
   m_isRemovingRow = false;
+  m_keepLostRowsUntil = aNow + kLostRowGrace;
+}
+
+void
+RelayControlFlow::DropLostRows(Instant aNow, RelayActions& aActions)
+{
+  if (aNow < m_keepLostRowsUntil || !m_shared.m_directory.HasLostRows() ||
+      m_nodes.IsScanning()) {
+    return;
+  }
+  aActions.emplace_back(
+    LogDecision{ "drop-lost-rows",
+                 std::nullopt,
+                 fmt::format("\"nodes\":{}", m_shared.m_directory.Size()) });
+  m_pendingCalls.at(static_cast<std::size_t>(Client::Nodes)) = 0;
+  m_nodes.Restart(aNow);
 }
 
 void
@@ -397,8 +425,9 @@
 {
   const NodeRow* row = m_shared.m_directory.Find(m_ownRow.m_host);
   // A missing row means the same as a row without a backend server.
-  return row != nullptr ? *row == m_ownRow
-                        : m_ownRow.m_state == ServerState::Absent;
+  return row != nullptr
+           ? *row == m_ownRow && m_shared.m_directory.IsStored(m_ownRow.m_host)
+           : m_ownRow.m_state == ServerState::Absent;
 }
 
 }
--- a/modules/cr_relay/flow/cr_RelayControlFlow.h
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.h
@@ -83,6 +83,7 @@
   void RemoveUnreachableRow(Instant aNow, RelayActions& aActions);
   void OnStoreEra(StoreEra aEra, Instant aNow, RelayActions& aActions);
   void OnStoreRestored(Instant aNow);
+  void DropLostRows(Instant aNow, RelayActions& aActions);
   void LogPlatformReachability(RelayActions& aActions);
   bool CanRemoveRows() const;
   bool IsOwnRowCurrent() const;
@@ -96,6 +97,8 @@
      counts. */
   std::array<std::uint64_t, kClientCount> m_pendingCalls{};
   std::optional<StoreEra> m_era;
+  /* Until then, rows that the platform has lost stay in use. */
+  Instant m_keepLostRowsUntil = Instant::min();
 
   NodeRow m_ownRow;
   StoreBackoff m_rowPace;
