A started node asks another one for its routes before it uses any

What callers saw: in the test, a 404 for a route that had been confirmed, from a node that started after the store had come back from an older copy and before the operator had written again.

When the table of nodes is loaded, a started node fetches the routes of another ready one, of up to three in turn until one answers, with or without routes. Until then the platform's document is held, requests get 503, and the node is not ready. Weighed and left: asking several at once, as each document is parsed whole.

--- a/modules/cr_relay/event/cr_RelayEvent.h
+++ b/modules/cr_relay/event/cr_RelayEvent.h
@@ -104,9 +104,12 @@
   RouteConfiguration m_configuration;
 };
 
-/** FetchPeerRoutes ended, with or without an answer. */
+/** FetchPeerRoutes ended. An answer with routes was offered before. */
 struct PeerRoutesFetched
-{};
+{
+  /** The other node answered, whether or not it has routes. */
+  bool m_isAnswered = false;
+};
 
 /** The time that NextWakeup() returned was reached. */
 struct RelayTimerDue
--- a/modules/cr_relay/flow/cr_RelayControlFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.cpp
@@ -23,6 +23,8 @@
 /* In this time after a restoration of the platform, nodes that can reach it
    write their rows again. */
 constexpr Duration kLostRowGrace = Seconds(20);
+/* Number of nodes that a started node asks until one answers. */
+constexpr std::size_t kMaxPeerAttempts = 3;
 
 RouteTarget
 ToTarget(const NodeRow& aRow)
@@ -71,7 +73,7 @@
         m_nodes.HandleAnswer(aEvent.m_answer, aNow), aNow, aActions);
       break;
     case Client::Routes:
-      ApplyRouteChanges(m_routes.HandleAnswer(aEvent.m_answer, aNow), aActions);
+      ApplyRouteChanges(m_routes.HandleAnswer(aEvent.m_answer, aNow));
       break;
     case Client::OwnRow:
       HandleOwnRowAnswer(aEvent.m_answer, aNow);
@@ -84,11 +86,12 @@
 }
 
 void
-RelayControlFlow::Handle(const PeerRoutesFetched& /*aEvent*/,
+RelayControlFlow::Handle(const PeerRoutesFetched& aEvent,
                          Instant /*aNow*/,
                          RelayActions& /*aActions*/)
 {
   m_isFetchingPeerRoutes = false;
+  m_hasAskedPeer |= aEvent.m_isAnswered;
 }
 
 void
@@ -153,6 +156,7 @@
   if (auto call = m_nodes.NextCall(aNow)) {
     Call(Client::Nodes, std::move(*call), aActions);
   }
+  AskPeerForRoutes(aNow, aActions);
   WriteOwnRow(aNow, aActions);
   RemoveUnreachableRow(aNow, aActions);
 }
@@ -183,7 +187,8 @@
 bool
 RelayControlFlow::IsLoaded() const
 {
-  return m_nodes.IsLoaded() && m_shared.m_routes.ActiveGeneration() > 0;
+  return m_nodes.IsLoaded() && m_hasAskedPeer &&
+         m_shared.m_routes.ActiveGeneration() > 0;
 }
 
 bool
@@ -256,13 +261,12 @@
 }
 
 void
-RelayControlFlow::ApplyRouteChanges(const TableChanges& aTableChanges,
-                                    RelayActions& aActions)
+RelayControlFlow::ApplyRouteChanges(const TableChanges& aTableChanges)
 {
   for (const RowChange& change : aTableChanges.m_changes) {
     if (change.m_row.m_key == m_shared.m_settings.m_routesRow.m_key &&
         !change.m_isRemoved) {
-      aActions.emplace_back(ReadRoutes{ change.m_row.m_value });
+      m_heldRoutes = change.m_row.m_value;
     }
   }
 }
@@ -374,6 +378,45 @@
   m_keepLostRowsUntil = aNow + kLostRowGrace;
 }
 
+void
+RelayControlFlow::AskPeerForRoutes(Instant aNow, RelayActions& aActions)
+{
+  if (!m_hasAskedPeer && !m_isFetchingPeerRoutes && m_nodes.IsLoaded()) {
+    const auto peer = ChoosePeerToAsk();
+    m_hasAskedPeer = !peer;
+    if (peer) {
+      ++m_peerAttempts;
+      m_isFetchingPeerRoutes = true;
+      m_nextPeerFetch = aNow + kMinPeerFetchInterval;
+      aActions.emplace_back(FetchPeerRoutes{ *peer });
+    }
+  }
+  if (m_hasAskedPeer && m_heldRoutes) {
+    aActions.emplace_back(
+      ReadRoutes{ *std::exchange(m_heldRoutes, std::nullopt) });
+  }
+}
+
+/* Returns nothing if there is no other node, or enough nodes did not answer. */
+std::optional<Endpoint>
+RelayControlFlow::ChoosePeerToAsk() const
+{
+  std::vector<Endpoint> peers;
+  for (const auto& [service, rows] : m_shared.m_directory.ReadyByService()) {
+    for (const NodeRow& row : rows) {
+      if (row.m_host != m_shared.m_settings.m_host) {
+        peers.push_back(row.m_peer);
+      }
+    }
+  }
+  if (m_peerAttempts >= std::min(kMaxPeerAttempts, peers.size())) {
+    return std::nullopt;
+  }
+  const std::size_t first =
+    Hash(m_shared.m_settings.m_host, m_shared.m_settings.m_seed) % peers.size();
+  return peers.at((first + m_peerAttempts) % peers.size());
+}
+
 void
 RelayControlFlow::DropLostRows(Instant aNow, RelayActions& aActions)
 {
--- a/modules/cr_relay/flow/cr_RelayControlFlow.h
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.h
@@ -15,7 +15,9 @@
 
     If the platform is slow, unavailable, or refuses this node only, the last
     view stays active, and the routes are fetched from any node that reports a
-    newer generation. Not thread safe. */
+    newer generation. A node that has started asks another one for its routes
+    before it uses any, because the platform may have come back from a copy that
+    is older than what the fleet uses. Not thread safe. */
 class RelayControlFlow
 {
 public:
@@ -76,13 +78,14 @@
   void ApplyNodeChanges(const TableChanges& aTableChanges,
                         Instant aNow,
                         RelayActions& aActions);
-  void ApplyRouteChanges(const TableChanges& aTableChanges,
-                         RelayActions& aActions);
+  void ApplyRouteChanges(const TableChanges& aTableChanges);
   void HandleOwnRowAnswer(const StoreAnswer& aAnswer, Instant aNow);
   void WriteOwnRow(Instant aNow, RelayActions& aActions);
   void RemoveUnreachableRow(Instant aNow, RelayActions& aActions);
   void OnStoreEra(StoreEra aEra, Instant aNow, RelayActions& aActions);
   void OnStoreRestored(Instant aNow);
+  void AskPeerForRoutes(Instant aNow, RelayActions& aActions);
+  std::optional<Endpoint> ChoosePeerToAsk() const;
   void DropLostRows(Instant aNow, RelayActions& aActions);
   void LogPlatformReachability(RelayActions& aActions);
   bool CanRemoveRows() const;
@@ -113,6 +116,11 @@
   Instant m_rowWritten = Instant::min();
 
   bool m_isFetchingPeerRoutes = false;
+  /* Another node has been asked since the start, or there is none to ask. */
+  bool m_hasAskedPeer = false;
+  std::size_t m_peerAttempts = 0;
+  /* Platform's routing document that waits until another node was asked. */
+  std::optional<std::string> m_heldRoutes;
   Instant m_nextPeerFetch = Instant::min();
   bool m_wasPlatformReachable = false;
 };
--- a/modules/cr_relay/tests/cr_RelayStoreRestorationTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayStoreRestorationTest.cpp
@@ -159,6 +159,46 @@
   EXPECT_EQ(node.OwnState(), ServerState::Ready);
 }
 
+/* A node that starts after the restoration, before the operator has written the
+   configuration again. */
+TEST(RelayStoreRestoration, StartedNodeDoesNotUseAnOlderConfigurationThanOthers)
+{
+  RelayTestControl node;
+  node.WriteRow("host-2", "orders");
+  node.m_platform.Execute(
+    TransactRequest{ {}, { { { "routes", "all" }, "the older one" } } });
+  node.Run(Seconds(1));
+  const auto fetches = node.TakeActions<FetchPeerRoutes>();
+  ASSERT_EQ(fetches.size(), 1U);
+  EXPECT_EQ(fetches[0].m_peer, RelayTestNode::PeerOf("host-2"));
+  EXPECT_TRUE(node.TakeActions<ReadRoutes>().empty());
+  EXPECT_FALSE(node.m_decisions.IsReady());
+  node.AdoptRoutes(2, {});
+  node.Feed(PeerRoutesFetched{ true });
+  EXPECT_EQ(node.TakeActions<ReadRoutes>().size(), 1U);
+  EXPECT_TRUE(node.m_decisions.IsReady());
+}
+
+TEST(RelayStoreRestoration, StartedNodeUsesThePlatformIfNoOtherNodeAnswers)
+{
+  RelayTestControl node;
+  node.WriteRow("host-2", "orders");
+  node.WriteRow("host-3", "orders");
+  node.m_platform.Execute(
+    TransactRequest{ {}, { { { "routes", "all" }, "the only one" } } });
+  std::vector<Endpoint> asked;
+  for (int round = 0; round < 4; ++round) {
+    node.Run(Seconds(1));
+    for (const FetchPeerRoutes& fetch : node.TakeActions<FetchPeerRoutes>()) {
+      asked.push_back(fetch.m_peer);
+      node.Feed(PeerRoutesFetched{ false });
+    }
+  }
+  ASSERT_EQ(asked.size(), 2U);
+  EXPECT_NE(asked[0], asked[1]);
+  EXPECT_EQ(node.TakeActions<ReadRoutes>().size(), 1U);
+}
+
 TEST(RelayStoreRestoration, LateAnswerOfTheFormerEraIsNotUsed)
 {
   Restoration node;
--- a/modules/cr_relay/tests/cr_RelayTestMesh.cpp
+++ b/modules/cr_relay/tests/cr_RelayTestMesh.cpp
@@ -175,6 +175,8 @@
     ++m_servedByTarget[m_targets[served->m_call]];
   } else if (std::holds_alternative<RefuseRequest>(aAction)) {
     ++m_refused;
+  } else if (std::holds_alternative<FetchPeerRoutes>(aAction)) {
+    After(kHop, [this, aHost] { Feed(aHost, PeerRoutesFetched{ true }); });
   } else if (std::holds_alternative<CheckHealth>(aAction)) {
     After(kHop, [this, aHost] {
       const Host& host = m_hosts[aHost];
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -426,7 +426,7 @@
       if (response != nullptr && response->m_status == kHttpOk) {
         self->LoadRoutes(response->m_body, "node");
       }
-      self->ProcessEvent(PeerRoutesFetched{});
+      self->ProcessEvent(PeerRoutesFetched{ response != nullptr });
     });
 }
 
--- a/modules/cr_relay_server/tests/cr_RelayFleet.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.cpp
@@ -148,9 +148,27 @@
   settings.m_server = { host->m_address, kServerPort };
   settings.m_platform = m_platformAddress;
   settings.m_shutdownLimit = kShutdownLimit;
-  host->m_node = std::make_unique<RelayServer>(settings, MakeAdapter());
-  EXPECT_TRUE(host->m_node->Start());
+  host->m_settings = settings;
   m_hosts.push_back(std::move(host));
+  StartNode(*m_hosts.back());
+}
+
+void
+RelayFleet::StartNode(Host& aHost)
+{
+  aHost.m_node = std::make_unique<RelayServer>(aHost.m_settings, MakeAdapter());
+  EXPECT_TRUE(aHost.m_node->Start());
+}
+
+void
+RelayFleet::Restart(std::size_t aHost)
+{
+  Host& host = At(aHost);
+  host.m_node.reset();
+  host.m_settings.m_relay.m_incarnation = Incarnation{
+    static_cast<std::uint64_t>(host.m_settings.m_relay.m_incarnation) + 1
+  };
+  StartNode(host);
 }
 
 void
--- a/modules/cr_relay_server/tests/cr_RelayFleet.h
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.h
@@ -25,6 +25,7 @@
     std::string m_address;
     std::unique_ptr<HttpServer> m_server;
     std::unique_ptr<RelayServer> m_node;
+    RelayServerSettings m_settings;
     std::atomic<int> m_requestsRun{ 0 };
     /** Rate limit that the server names; 0 for none. */
     std::atomic<int> m_rateLimit{ 0 };
@@ -50,6 +51,9 @@
                    const std::vector<std::string>& aServices,
                    std::uint64_t aBodyBytes = 1000);
 
+  /** Ends a host's node as if it crashed, and starts it again. */
+  void Restart(std::size_t aHost);
+
   /** Sends an announcement of a host's server; returns the HTTP status. */
   unsigned Announce(std::size_t aHost, int aSequence, bool aIsLeaving = false);
 
@@ -95,6 +99,7 @@
 
 private:
   void StartHost(const std::string& aService);
+  void StartNode(Host& aHost);
   RelayProtocolAdapter MakeAdapter() const;
 
   HttpClient m_client{ m_threads, {} };
--- a/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
@@ -157,6 +157,33 @@
   EXPECT_EQ(fleet.SendUntil(0, "/booking/7", kHttpNotFound), kHttpNotFound);
 }
 
+/* Incident CONFIG: the platform comes back from an older copy, and a process
+   starts before the operator has written the configuration again. */
+TEST(RelayServer, ConfirmedConfigurationStaysInForceAfterARestoration)
+{
+  RelayFleet fleet({ "status", "booking" });
+  fleet.WriteRoutes(1, { "status" });
+  ASSERT_EQ(fleet.SendUntil(0, "/status/7", kHttpOk), kHttpOk);
+  ASSERT_EQ(fleet.SendUntil(1, "/status/7", kHttpOk), kHttpOk);
+  fleet.m_platform.Save();
+  fleet.WriteRoutes(2, { "status", "booking" });
+  ASSERT_EQ(fleet.SendUntil(0, "/booking/7", kHttpOk), kHttpOk);
+  ASSERT_EQ(fleet.SendUntil(1, "/booking/7", kHttpOk), kHttpOk);
+  fleet.m_platform.Restore();
+  fleet.Restart(1);
+  unsigned status = kHttpUnavailable;
+  for (int wait = 0; wait < 200 && status == kHttpUnavailable; ++wait) {
+    std::this_thread::sleep_for(Milliseconds(10));
+    status = fleet.Send(1, "/booking/7").m_status;
+  }
+  EXPECT_EQ(status, kHttpOk);
+  // Written again at versions that were used before.
+  fleet.WriteRoutes(2, { "status", "booking" });
+  fleet.WriteRoutes(3, { "booking" });
+  EXPECT_EQ(fleet.SendUntil(0, "/status/7", kHttpNotFound), kHttpNotFound);
+  EXPECT_EQ(fleet.SendUntil(1, "/status/7", kHttpNotFound), kHttpNotFound);
+}
+
 TEST(RelayServer, LimitsOfAnOlderDocumentAreIgnored)
 {
   RelayFleet fleet({ "status" });
