Nodes ask random others for newer routes

The store had been silent for a moment; their watches, sent into it, were given up only after 22 s, and the requests of both nodes stayed within their data centre, which has a server of each service, so no answer of another node named the newer generation. Class: news that travels only with work travels only where work goes.

Once a second on average a node asks a random ready one, of any data centre, for routes newer than its own; the answer carries a document only if there is one. Weighed and left: shorter watches, as calls to the store are priced and the last call into an outage still has to time out.

RoutesAreLearnedFromNodesToWhichNoRequestGoes: no such request was ever sent before.

--- a/modules/cr_relay/event/cr_RelayAction.h
+++ b/modules/cr_relay/event/cr_RelayAction.h
@@ -95,11 +95,13 @@
   std::string m_document;
 };
 
-/** Fetches the operator's document that is active at another node. The shell
-    reports RoutesOffered on success, and PeerRoutesFetched in any case. */
+/** Fetches the operator's document that is active at another node if it is
+   newer than the generation. The shell reports RoutesOffered if it is, and
+    PeerRoutesFetched in any case. */
 struct FetchPeerRoutes
 {
   Endpoint m_peer;
+  Generation m_newerThan = 0;
 };
 
 /** Writes one decision to the log. */
--- a/modules/cr_relay/flow/cr_RelayControlFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.cpp
@@ -23,6 +23,8 @@
 /* In this time after a restoration of the platform, nodes that can reach it
    write their rows again. */
 constexpr Duration kLostRowGrace = Seconds(20);
+/* Mean time between two requests to random nodes for newer routes. */
+constexpr Duration kRandomFetchInterval = Seconds(1);
 /* Number of nodes that a started node asks until one answers. */
 constexpr std::size_t kMaxPeerAttempts = 3;
 
@@ -44,6 +46,7 @@
   , m_routes(aShared.m_settings.m_routesRow.m_table,
              Hash(aShared.m_settings.m_seed, 12))
   , m_rowPace(Hash(aShared.m_settings.m_seed, 13))
+  , m_random(Hash(aShared.m_settings.m_seed, 14))
 {
   const RelaySettings& settings = m_shared.m_settings;
   m_ownRow.m_host = settings.m_host;
@@ -122,9 +125,7 @@
       m_isFetchingPeerRoutes || aNow < m_nextPeerFetch) {
     return;
   }
-  m_isFetchingPeerRoutes = true;
-  m_nextPeerFetch = aNow + kMinPeerFetchInterval;
-  aActions.emplace_back(FetchPeerRoutes{ aPeer });
+  FetchRoutesFrom(aPeer, aNow, aActions);
 }
 
 void
@@ -156,7 +157,8 @@
   if (auto call = m_nodes.NextCall(aNow)) {
     Call(Client::Nodes, std::move(*call), aActions);
   }
-  AskPeerForRoutes(aNow, aActions);
+  AskFirstPeerForRoutes(aNow, aActions);
+  AskRandomPeerForRoutes(aNow, aActions);
   WriteOwnRow(aNow, aActions);
   RemoveUnreachableRow(aNow, aActions);
 }
@@ -173,6 +175,9 @@
                    m_isRowWritten ? m_rowWritten + kRowVisibilityTimeout
                                   : m_rowPace.NotBefore());
   }
+  if (IsLoaded()) {
+    due = std::min(due, m_nextRandomFetch);
+  }
   if (!m_nodes.IsScanning() && m_shared.m_directory.HasLostRows()) {
     due = std::min(due, m_keepLostRowsUntil);
   }
@@ -379,16 +384,30 @@
 }
 
 void
-RelayControlFlow::AskPeerForRoutes(Instant aNow, RelayActions& aActions)
+RelayControlFlow::FetchRoutesFrom(const Endpoint& aPeer,
+                                  Instant aNow,
+                                  RelayActions& aActions)
+{
+  m_isFetchingPeerRoutes = true;
+  m_nextPeerFetch = aNow + kMinPeerFetchInterval;
+  aActions.emplace_back(
+    FetchPeerRoutes{ aPeer, m_shared.m_routes.ActiveGeneration() });
+}
+
+/* Asks until a node has answered, none is left to ask, or enough were asked. */
+void
+RelayControlFlow::AskFirstPeerForRoutes(Instant aNow, RelayActions& aActions)
 {
   if (!m_hasAskedPeer && !m_isFetchingPeerRoutes && m_nodes.IsLoaded()) {
-    const auto peer = ChoosePeerToAsk();
-    m_hasAskedPeer = !peer;
-    if (peer) {
+    const std::vector<Endpoint> peers = ReadyPeers();
+    m_hasAskedPeer = m_peerAttempts >= std::min(kMaxPeerAttempts, peers.size());
+    if (!m_hasAskedPeer) {
+      const std::size_t first =
+        Hash(m_shared.m_settings.m_host, m_shared.m_settings.m_seed) %
+        peers.size();
+      const Endpoint& peer = peers.at((first + m_peerAttempts) % peers.size());
       ++m_peerAttempts;
-      m_isFetchingPeerRoutes = true;
-      m_nextPeerFetch = aNow + kMinPeerFetchInterval;
-      aActions.emplace_back(FetchPeerRoutes{ *peer });
+      FetchRoutesFrom(peer, aNow, aActions);
     }
   }
   if (m_hasAskedPeer && m_heldRoutes) {
@@ -397,9 +416,23 @@
   }
 }
 
-/* Returns nothing if there is no other node, or enough nodes did not answer. */
-std::optional<Endpoint>
-RelayControlFlow::ChoosePeerToAsk() const
+void
+RelayControlFlow::AskRandomPeerForRoutes(Instant aNow, RelayActions& aActions)
+{
+  if (aNow < m_nextRandomFetch || !IsLoaded()) {
+    return;
+  }
+  m_nextRandomFetch =
+    aNow + Scale(kRandomFetchInterval, 0.5 + m_random.NextDouble());
+  const std::vector<Endpoint> peers = ReadyPeers();
+  if (!peers.empty() && !m_isFetchingPeerRoutes) {
+    FetchRoutesFrom(peers.at(m_random.NextBelow(peers.size())), aNow, aActions);
+  }
+}
+
+/* Returns the nodes with a ready backend server, without this one. */
+std::vector<Endpoint>
+RelayControlFlow::ReadyPeers() const
 {
   std::vector<Endpoint> peers;
   for (const auto& [service, rows] : m_shared.m_directory.ReadyByService()) {
@@ -409,12 +442,7 @@
       }
     }
   }
-  if (m_peerAttempts >= std::min(kMaxPeerAttempts, peers.size())) {
-    return std::nullopt;
-  }
-  const std::size_t first =
-    Hash(m_shared.m_settings.m_host, m_shared.m_settings.m_seed) % peers.size();
-  return peers.at((first + m_peerAttempts) % peers.size());
+  return peers;
 }
 
 void
--- a/modules/cr_relay/flow/cr_RelayControlFlow.h
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "cr_relay/event/cr_RelayAction.h"
 #include "cr_relay/flow/cr_RelayShared.h"
@@ -15,9 +16,11 @@
 
     If the platform is slow, unavailable, or refuses this node only, the last
     view stays active, and the routes are fetched from any node that reports a
-    newer generation. A node that has started asks another one for its routes
-    before it uses any, because the platform may have come back from a copy that
-    is older than what the fleet uses. Not thread safe. */
+    newer generation. Besides, each node asks a random one for newer routes at
+    intervals, as requests may go to the own data centre only (anti-entropy:
+    Demers et al., 1987). A node that has started asks another one for its
+   routes before it uses any, because the platform may have come back from a
+   copy that is older than what the fleet uses. Not thread safe. */
 class RelayControlFlow
 {
 public:
@@ -84,8 +87,12 @@
   void RemoveUnreachableRow(Instant aNow, RelayActions& aActions);
   void OnStoreEra(StoreEra aEra, Instant aNow, RelayActions& aActions);
   void OnStoreRestored(Instant aNow);
-  void AskPeerForRoutes(Instant aNow, RelayActions& aActions);
-  std::optional<Endpoint> ChoosePeerToAsk() const;
+  void AskFirstPeerForRoutes(Instant aNow, RelayActions& aActions);
+  void AskRandomPeerForRoutes(Instant aNow, RelayActions& aActions);
+  void FetchRoutesFrom(const Endpoint& aPeer,
+                       Instant aNow,
+                       RelayActions& aActions);
+  std::vector<Endpoint> ReadyPeers() const;
   void DropLostRows(Instant aNow, RelayActions& aActions);
   void LogPlatformReachability(RelayActions& aActions);
   bool CanRemoveRows() const;
@@ -122,6 +129,8 @@
   /* Platform's routing document that waits until another node was asked. */
   std::optional<std::string> m_heldRoutes;
   Instant m_nextPeerFetch = Instant::min();
+  Random m_random;
+  Instant m_nextRandomFetch = Instant::min();
   bool m_wasPlatformReachable = false;
 };
 
--- a/modules/cr_relay/tests/cr_RelayControlFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayControlFlowTest.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <set>
+
 #include "tests/cr_RelayTestControl.h"
 
 namespace cr {
@@ -137,6 +139,31 @@
   EXPECT_EQ(actions.size(), 2U);
 }
 
+/* Incident CONFIG: requests stayed within a data centre whose nodes could not
+   reach the platform, so none of them heard of a newer generation. */
+TEST(RelayControlFlow, RoutesAreLearnedFromNodesToWhichNoRequestGoes)
+{
+  Control node;
+  node.AdoptRoutes(7, {});
+  node.WriteRow("host-2", "orders");
+  node.WriteRow("host-3", "stock");
+  node.Run(Seconds(1));
+  std::set<Endpoint> asked;
+  std::size_t count = 0;
+  for (int second = 0; second < 30; ++second) {
+    node.Run(Seconds(1));
+    for (const FetchPeerRoutes& fetch : node.TakeActions<FetchPeerRoutes>()) {
+      EXPECT_EQ(fetch.m_newerThan, 7U);
+      asked.insert(fetch.m_peer);
+      ++count;
+      node.Feed(PeerRoutesFetched{ true });
+    }
+  }
+  EXPECT_EQ(asked.size(), 2U);
+  EXPECT_GE(count, 20U);
+  EXPECT_LE(count, 40U);
+}
+
 TEST(RelayControlFlow, RowIsRemovedOnlyIfTheHostStaysUnreachable)
 {
   for (const bool isBack : { false, true }) {
--- a/modules/cr_relay_server/protocol/cr_RelayCodec.h
+++ b/modules/cr_relay_server/protocol/cr_RelayCodec.h
@@ -16,6 +16,9 @@
 
 /** Path at which a node serves its active operator document to other nodes. */
 inline constexpr std::string_view kRoutesPath = "/routes";
+/** Generation that the asking node already has; the document is sent only if it
+    is newer. */
+inline constexpr std::string_view kNewerThanHeaderName = "Cr-Newer-Than";
 
 /** Reads the condition that a backend server reports in the headers of an
     answer. Returns ErrorCode::Malformed when the rate limit isn't a finite
--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -307,10 +307,12 @@
 {
   const auto text = FindHeader(aRequest.m_headers, kRelayHeaderName);
   if (text.empty() && aRequest.m_target == kRoutesPath) {
+    const auto known = ParseNumber<Generation>(
+      FindHeader(aRequest.m_headers, kNewerThanHeaderName));
     aResponder.Send(
-      m_documentGeneration > 0
+      m_documentGeneration > known.value_or(0)
         ? MakeTextResponse(kHttpOk, m_document, "application/json")
-        : MakeTextResponse(kHttpNotFound, "no routes yet\n"));
+        : MakeTextResponse(kHttpNotFound, "no newer routes\n"));
     return;
   }
   if (DropIfCallerLeft(aRequest, aResponder, kPeerIngress)) {
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -413,6 +413,8 @@
 {
   HttpRequest request;
   request.m_target = kRoutesPath;
+  request.m_headers.push_back(
+    { std::string(kNewerThanHeaderName), std::to_string(aAction.m_newerThan) });
   m_peerClient.Send(
     aAction.m_peer,
     std::move(request),
