Watches after a failure of the platform are short

Three nodes had started while most others were restarting; the store then fell silent, and the watches that they sent into it hid all later rows for up to 22 s, although the store was back after 2 s. Class: a wait sized for the calm case, used right after a failure.

The first watch after a failure waits 1 s, and each answer doubles the wait up to 20 s. In a calm fleet nothing changes; after an outage a node sends four more calls a table.

WatchesAfterAFailureAreShort failed before (20 s instead of 1 s).

--- a/modules/cr_store/follow/cr_TableFollower.cpp
+++ b/modules/cr_store/follow/cr_TableFollower.cpp
@@ -39,7 +39,7 @@
   if (m_isScanning) {
     return ScanRequest{ m_table, m_scanAfter, kMaxPageRows, {} };
   }
-  return WatchRequest{ m_table, m_version, kMaxWatchWait };
+  return WatchRequest{ m_table, m_version, m_watchWait };
 }
 
 TableChanges
@@ -53,6 +53,7 @@
   if (const auto* changes = std::get_if<RowChanges>(&aAnswer)) {
     m_backoff.OnSuccess();
     m_version = changes->m_version;
+    m_watchWait = std::min(m_watchWait * 2, kMaxWatchWait);
     if (!changes->m_changes.empty()) {
       DelayToBatchChanges(aNow);
     }
@@ -63,6 +64,7 @@
     m_backoff.DelayNext(Duration::zero(), kRescanJitter, aNow);
   } else {
     m_backoff.OnFailure(aNow);
+    m_watchWait = kWatchWaitAfterFailure;
   }
   if (m_isScanning || std::holds_alternative<HistoryLost>(aAnswer)) {
     // Pages of an interrupted scan show the table at different times, so the
--- a/modules/cr_store/follow/cr_TableFollower.h
+++ b/modules/cr_store/follow/cr_TableFollower.h
@@ -29,6 +29,9 @@
 public:
   /** Max time that the platform is asked to wait for a change. */
   static constexpr Duration kMaxWatchWait = Seconds(20);
+  /** The same after a failure; doubles with each answer. A platform that fails
+      may not answer the next watch either, even after it has recovered. */
+  static constexpr Duration kWatchWaitAfterFailure = Seconds(1);
 
   TableFollower(std::string aTable, std::uint64_t aSeed);
 
@@ -79,6 +82,7 @@
   std::string m_scanAfter;
   TableChanges m_scanned;
   RowVersion m_version = 0;
+  Duration m_watchWait = kMaxWatchWait;
 };
 
 }
--- a/modules/cr_store/tests/cr_TableFollowerTest.cpp
+++ b/modules/cr_store/tests/cr_TableFollowerTest.cpp
@@ -171,6 +171,33 @@
   EXPECT_EQ(copy.m_rows["row1001"], "new");
 }
 
+/* Watches that were sent to a silent platform hid all changes for 20 s after
+   its return. */
+TEST(TableFollower, WatchesAfterAFailureAreShort)
+{
+  InProcessPlatform platform;
+  TableFollower follower(kTable, 1);
+  Instant now;
+  const auto wait = [&] {
+    now += 2 * StoreBackoff::kMaxMeanDelay;
+    const auto request = follower.NextCall(now);
+    const auto* watch = std::get_if<WatchRequest>(&*request);
+    return watch != nullptr ? watch->m_wait : Duration::zero();
+  };
+  wait();
+  follower.HandleAnswer(RowPage{}, now);
+  EXPECT_EQ(wait(), TableFollower::kMaxWatchWait);
+  follower.HandleAnswer(StoreFailed{ "silent" }, now);
+  Duration sum = Duration::zero();
+  for (int answer = 0; answer < 5; ++answer) {
+    const Duration last = wait();
+    EXPECT_LE(last, sum + Seconds(1));
+    sum += last;
+    follower.HandleAnswer(RowChanges{}, now);
+  }
+  EXPECT_EQ(wait(), TableFollower::kMaxWatchWait);
+}
+
 TEST(TableFollower, CallsArePacedWhileThePlatformFails)
 {
   TableFollower follower(kTable, 1);
