Watches sent into an outage are repeated when the platform answers again

Its watch of the nodes had been sent when the store was already silent; the other watch ended with its connection, so only that one counted as failed, and nothing ended the first for 22 s. Class: one connection's failure kept from another to the same party.

An answer after a failure makes the node repeat the watches that it sent before the failure. One more call an outage at most.

--- a/modules/cr_relay/flow/cr_RelayControlFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.cpp
@@ -70,6 +70,7 @@
     return;
   }
   m_pendingCalls.at(client) = 0;
+  RepeatUnansweredCalls(aEvent.m_answer, aNow);
   switch (static_cast<Client>(client)) {
     case Client::Nodes:
       ApplyNodeChanges(
@@ -383,6 +384,27 @@
   m_keepLostRowsUntil = aNow + kLostRowGrace;
 }
 
+/* A platform that answers again has forgotten the watches that were sent to it
+   while it did not answer. */
+void
+RelayControlFlow::RepeatUnansweredCalls(const StoreAnswer& aAnswer,
+                                        Instant aNow)
+{
+  if (std::holds_alternative<StoreFailed>(aAnswer)) {
+    m_lastStoreFailure = aNow;
+    return;
+  }
+  const auto repeat = [this](TableFollower& aFollower, Client aClient) {
+    std::uint64_t& pending =
+      m_pendingCalls.at(static_cast<std::size_t>(aClient));
+    if (pending != 0 && aFollower.RepeatCallFrom(m_lastStoreFailure)) {
+      pending = 0;
+    }
+  };
+  repeat(m_nodes, Client::Nodes);
+  repeat(m_routes, Client::Routes);
+}
+
 void
 RelayControlFlow::FetchRoutesFrom(const Endpoint& aPeer,
                                   Instant aNow,
--- a/modules/cr_relay/flow/cr_RelayControlFlow.h
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.h
@@ -87,6 +87,7 @@
   void RemoveUnreachableRow(Instant aNow, RelayActions& aActions);
   void OnStoreEra(StoreEra aEra, Instant aNow, RelayActions& aActions);
   void OnStoreRestored(Instant aNow);
+  void RepeatUnansweredCalls(const StoreAnswer& aAnswer, Instant aNow);
   void AskFirstPeerForRoutes(Instant aNow, RelayActions& aActions);
   void AskRandomPeerForRoutes(Instant aNow, RelayActions& aActions);
   void FetchRoutesFrom(const Endpoint& aPeer,
@@ -107,6 +108,8 @@
      counts. */
   std::array<std::uint64_t, kClientCount> m_pendingCalls{};
   std::optional<StoreEra> m_era;
+  /* The platform last failed to answer a call. */
+  Instant m_lastStoreFailure = Instant::min();
   /* Until then, rows that the platform has lost stay in use. */
   Instant m_keepLostRowsUntil = Instant::min();
 
--- a/modules/cr_relay/tests/cr_RelayControlFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayControlFlowTest.cpp
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
+#include <utility>
 
 #include "tests/cr_RelayTestControl.h"
 
@@ -164,6 +166,31 @@
   EXPECT_LE(count, 40U);
 }
 
+/* A platform falls silent: the watch of one table ends with its connection,
+   that of the other was sent a moment later and gets no answer at all. */
+TEST(RelayControlFlow, WatchSentIntoAnOutageIsRepeatedWhenThePlatformAnswers)
+{
+  Control node;
+  node.AdoptRoutes(1, { RelayTestNode::Route("stock", true) });
+  node.Run(Seconds(1));
+  ASSERT_EQ(node.m_watches.size(), 2U);
+  const auto watches = std::exchange(node.m_watches, {});
+  const auto routes =
+    std::find_if(watches.begin(), watches.end(), [](const auto& aCall) {
+      return std::get<WatchRequest>(aCall.m_request).m_table == "routes";
+    });
+  node.m_now += Seconds(1);
+  node.Feed(RelayStoreAnswered{ routes->m_id, StoreFailed{ "reset" } });
+  node.Run(Seconds(1));
+  node.WriteRow("host-2", "stock");
+  // Any change of the routes lets the platform answer.
+  node.m_platform.Execute(
+    TransactRequest{ {}, { { { "routes", "all" }, "document" } } });
+  node.Run(Seconds(1));
+  node.Request("/stock/1");
+  EXPECT_EQ(node.TakeActions<ForwardRequest>().size(), 1U);
+}
+
 TEST(RelayControlFlow, RowIsRemovedOnlyIfTheHostStaysUnreachable)
 {
   for (const bool isBack : { false, true }) {
--- a/modules/cr_store/follow/cr_TableFollower.cpp
+++ b/modules/cr_store/follow/cr_TableFollower.cpp
@@ -88,6 +88,19 @@
   return m_isCallPending ? std::nullopt : std::optional(m_backoff.NotBefore());
 }
 
+bool
+TableFollower::RepeatCallFrom(Instant aBefore)
+{
+  if (!m_isCallPending || m_callStart >= aBefore) {
+    return false;
+  }
+  m_isCallPending = false;
+  if (m_isScanning) {
+    StartScan();
+  }
+  return true;
+}
+
 //==============================================================================
 void
 TableFollower::StartScan()
--- a/modules/cr_store/follow/cr_TableFollower.h
+++ b/modules/cr_store/follow/cr_TableFollower.h
@@ -47,6 +47,11 @@
       The answer to a pending call must not be passed to HandleAnswer(). */
   void Restart(Instant aNow);
 
+  /** Abandons the pending call and makes it again if it was made before the
+      time; its answer must not be passed to HandleAnswer(). Returns whether
+      there was such a call. */
+  bool RepeatCallFrom(Instant aBefore);
+
   //==========================================================================
   /** Returns the time at which NextCall() is next due; nothing while a call is
       pending. */
