--- a/modules/cr_membership/directory/cr_FleetDirectory.h
+++ b/modules/cr_membership/directory/cr_FleetDirectory.h
@@ -17,8 +17,8 @@
 };
 
 /** All nodes listed in the platform's node table, and for a time those that the
-    table has lost. The data may be stale: use it
-    to choose hosts, not where correctness depends on it. Not thread safe. */
+    table has lost. The data may be stale: use it to choose hosts, not where
+    correctness depends on it. Not thread safe. */
 class FleetDirectory
 {
 public:
--- a/modules/cr_relay/flow/cr_RelayControlFlow.h
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.h
@@ -19,8 +19,8 @@
     newer generation. Besides, each node asks a random one for newer routes at
     intervals, as requests may go to the own data centre only (anti-entropy:
     Demers et al., 1987). A node that has started asks another one for its
-   routes before it uses any, because the platform may have come back from a
-   copy that is older than what the fleet uses. Not thread safe. */
+    routes before it uses any, because the platform may have come back from a
+    copy that is older than what the fleet uses. Not thread safe. */
 class RelayControlFlow
 {
 public:
