--- a/modules/cr_relay/tests/cr_RelayStoreRestorationTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayStoreRestorationTest.cpp
@@ -205,6 +205,7 @@
   node.WriteRow("host-3", "stock");
   const auto watches = std::exchange(node.m_watches, {});
   std::vector<StoreAnswer> answers;
+  answers.reserve(watches.size());
   for (const RelayCallStore& watch : watches) {
     answers.push_back(node.m_platform.Execute(watch.m_request));
   }
