A host of a service without configuration does not lose its timers

Cause: a gate whose server is absent asks for the next health check at once until it has sent one, and it sends none while its service is not configured; the wakeup in the infinite past overflows the delay of the timer, and as that timer counts as the earliest one, no other timer of the process is ever set. Class: a sentinel time used in arithmetic.

The time of the next check is set whether or not one is sent. HostOfAnUnconfiguredServiceHasNoWakeupInThePast failed before.

--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -268,6 +268,7 @@
       aNow < m_nextHealthCheck || m_shared.m_isLeaving) {
     return;
   }
+  m_nextHealthCheck = aNow + kHealthCheckInterval;
   const auto& services =
     m_shared.m_routes.Current()->Configuration().m_services;
   const auto service = services.find(m_shared.m_settings.m_service);
@@ -275,7 +276,6 @@
     return;
   }
   m_isCheckingHealth = true;
-  m_nextHealthCheck = aNow + kHealthCheckInterval;
   aActions.emplace_back(CheckHealth{ service->second.m_healthPath });
 }
 
--- a/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
@@ -290,6 +290,17 @@
   EXPECT_EQ(node.TakeActions<DispatchRequest>().size(), 1U);
 }
 
+/* A wakeup in the past overflowed the timer of a node whose service had no
+   configuration yet, and no timer of the process ever fired again. */
+TEST(RelayGateFlow, HostOfAnUnconfiguredServiceHasNoWakeupInThePast)
+{
+  RelaySettings settings = RelayTestNode::Settings("host-1");
+  settings.m_service = "not-configured";
+  RelayTestNode node(settings);
+  node.AdoptRoutes(1, {});
+  EXPECT_GT(node.m_decisions.NextWakeup(), node.m_now - Seconds(60));
+}
+
 TEST(RelayGateFlow, ReportWithoutAStartTimeDoesNotCloseTheGateOfAKnownStart)
 {
   for (const bool isStartKnown : { false, true }) {
