--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -264,19 +264,12 @@
   GateDecisions decisions;
   m_queue.Advance(aNow, decisions);
   ApplyDecisions(decisions, aNow, aActions);
-  if (Server().m_state != ServerState::Absent || m_isCheckingHealth ||
-      aNow < m_nextHealthCheck || m_shared.m_isLeaving) {
-    return;
-  }
-  m_nextHealthCheck = aNow + kHealthCheckInterval;
-  const auto& services =
-    m_shared.m_routes.Current()->Configuration().m_services;
-  const auto service = services.find(m_shared.m_settings.m_service);
-  if (service == services.end()) {
-    return;
+  const RoutedService* service = FindServiceToCheck();
+  if (service != nullptr && aNow >= m_nextHealthCheck) {
+    m_isCheckingHealth = true;
+    m_nextHealthCheck = aNow + kHealthCheckInterval;
+    aActions.emplace_back(CheckHealth{ service->m_healthPath });
   }
-  m_isCheckingHealth = true;
-  aActions.emplace_back(CheckHealth{ service->second.m_healthPath });
 }
 
 double
@@ -290,8 +283,7 @@
 RelayGateFlow::NextWakeup() const
 {
   std::optional<Instant> due = m_queue.NextWakeup();
-  if (Server().m_state == ServerState::Absent && !m_isCheckingHealth &&
-      !m_shared.m_isLeaving && m_shared.m_routes.ActiveGeneration() > 0) {
+  if (FindServiceToCheck() != nullptr) {
     due = std::min(due.value_or(Instant::max()), m_nextHealthCheck);
   }
   return due;
@@ -307,6 +299,21 @@
            : 0;
 }
 
+/* Returns the configured service of the host if its server is absent and no
+   health check is in progress; null otherwise. */
+const RoutedService*
+RelayGateFlow::FindServiceToCheck() const
+{
+  if (Server().m_state != ServerState::Absent || m_isCheckingHealth ||
+      m_shared.m_isLeaving) {
+    return nullptr;
+  }
+  const auto& services =
+    m_shared.m_routes.Current()->Configuration().m_services;
+  const auto service = services.find(m_shared.m_settings.m_service);
+  return service != services.end() ? &service->second : nullptr;
+}
+
 bool
 RelayGateFlow::IsOpen() const
 {
--- a/modules/cr_relay/flow/cr_RelayGateFlow.h
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.h
@@ -89,6 +89,7 @@
     bool m_isCallerDisconnected = false;
   };
 
+  const RoutedService* FindServiceToCheck() const;
   bool IsOpen() const;
   double SlotLoad(Instant aNow) const;
   void ApplyDecisions(GateDecisions& aDecisions,
