Requests are named by their content in log lines

What callers saw: servers ended again and again under one request that came with a new id each time. The lines of a gate could not be assigned to the repeats. Entries now compute a key over host name, method, target and body and pass it on; the lines server-ended and retry carry it. No decision uses it yet.

--- a/modules/cr_relay/event/cr_RelayEvent.h
+++ b/modules/cr_relay/event/cr_RelayEvent.h
@@ -22,6 +22,7 @@
   /** Time that the caller waits for an answer; the route's timeout applies if
       the request does not state it. */
   std::optional<Duration> m_callerTimeout;
+  ContentKey m_content;
 };
 
 /** Another node forwarded a request to this node's gate. */
--- a/modules/cr_relay/event/cr_RelayTypes.h
+++ b/modules/cr_relay/event/cr_RelayTypes.h
@@ -7,6 +7,7 @@
 #include "cr_membership/cr_membership.h"
 #include "cr_settings/cr_settings.h"
 #include "cr_store/cr_store.h"
+#include "cr_suspects/cr_suspects.h"
 
 namespace cr {
 
@@ -53,6 +54,8 @@
   bool m_isIdempotent = false;
   /** Generation of the configuration that is active at the sending node. */
   Generation m_generation = 0;
+  /** Empty if the sending node does not report it. */
+  std::optional<ContentKey> m_content{};
   /** The last report about the gate's backend server, if the sending node has
       one; a gate that has restarted does not know it. */
   std::optional<ServerReport> m_knownServer{};
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
@@ -91,6 +91,7 @@
   call.m_id = aEvent.m_call;
   call.m_table = m_shared.m_routes.Current();
   call.m_route = call.m_table->Find(aEvent.m_hostName, aEvent.m_target);
+  call.m_content = aEvent.m_content;
   call.m_arrived = aNow;
   call.m_deadline = aNow + aEvent.m_callerTimeout.value_or(Seconds(1));
   if (m_shared.m_routes.ActiveGeneration() == 0) {
@@ -260,6 +261,7 @@
   header.m_isChildCall = aCall.m_isChildCall;
   header.m_isIdempotent = aCall.m_route->m_idempotent;
   header.m_generation = m_shared.m_routes.ActiveGeneration();
+  header.m_content = aCall.m_content;
   const auto known = m_shared.m_serverReports.find(target->m_host);
   if (known != m_shared.m_serverReports.end()) {
     header.m_knownServer = known->second;
@@ -323,11 +325,13 @@
       LogDecision{ "retry",
                    aCall.m_id,
                    fmt::format("\"reason\":\"{}\",\"outcome\":\"{}\","
-                               "\"runs\":{},\"path_load\":{:.2f}",
+                               "\"runs\":{},\"path_load\":{:.2f},"
+                               "\"content\":\"{}\"",
                                ToText(aReport.m_reason),
                                ToText(aReport.m_outcome),
                                aCall.m_runs,
-                               aReport.m_pathLoad) });
+                               aReport.m_pathLoad,
+                               ToText(aCall.m_content)) });
     SendNextAttempt(aCall, aNow, aActions);
     return;
   }
--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -174,16 +174,18 @@
     m_load.RecordTime(route, aNow - call.m_dispatched);
     m_shared.m_pattern.RecordRunTime(route, aNow - call.m_dispatched, aNow);
   } else {
-    aActions.emplace_back(
-      LogDecision{ "server-ended",
-                   aEvent.m_call,
-                   fmt::format("\"verdict\":\"{}\",\"server\":\"{}\","
-                               "\"ran_ms\":{},\"running\":{},\"sender\":{}",
-                               ToText(aEvent.m_result),
-                               Server().m_id,
-                               ToMilliseconds(aNow - call.m_dispatched),
-                               m_queue.Running(),
-                               !call.m_isCallerDisconnected) });
+    aActions.emplace_back(LogDecision{
+      "server-ended",
+      aEvent.m_call,
+      fmt::format("\"verdict\":\"{}\",\"server\":\"{}\","
+                  "\"ran_ms\":{},\"running\":{},\"sender\":{},"
+                  "\"content\":\"{}\"",
+                  ToText(aEvent.m_result),
+                  Server().m_id,
+                  ToMilliseconds(aNow - call.m_dispatched),
+                  m_queue.Running(),
+                  !call.m_isCallerDisconnected,
+                  ToText(call.m_header.m_content.value_or(ContentKey()))) });
   }
   if (aEvent.m_condition && aEvent.m_result != DispatchResult::WrongServer) {
     OnConditionReported(call, *aEvent.m_condition, aNow, aActions);
--- a/modules/cr_relay_server/protocol/cr_RelayCodec.cpp
+++ b/modules/cr_relay_server/protocol/cr_RelayCodec.cpp
@@ -171,16 +171,18 @@
 std::string
 EncodeRelayHeader(const RelayHeader& aHeader)
 {
-  return fmt::format(";s={};r={};t={};w={};u={};b={:d};i={:d};g={}{}",
-                     QuoteJson(aHeader.m_service),
-                     QuoteJson(aHeader.m_route),
-                     aHeader.m_remaining.count(),
-                     aHeader.m_maxWait.count(),
-                     aHeader.m_priority,
-                     aHeader.m_isChildCall,
-                     aHeader.m_isIdempotent,
-                     aHeader.m_generation,
-                     EncodeServerReport(aHeader.m_knownServer));
+  return fmt::format(
+    ";s={};r={};t={};w={};u={};b={:d};i={:d};g={}{}{}",
+    QuoteJson(aHeader.m_service),
+    QuoteJson(aHeader.m_route),
+    aHeader.m_remaining.count(),
+    aHeader.m_maxWait.count(),
+    aHeader.m_priority,
+    aHeader.m_isChildCall,
+    aHeader.m_isIdempotent,
+    aHeader.m_generation,
+    aHeader.m_content ? fmt::format(";k={}", ToText(*aHeader.m_content)) : "",
+    EncodeServerReport(aHeader.m_knownServer));
 }
 
 Expected<RelayHeader>
@@ -206,6 +208,9 @@
       reader.Read(aValue, header.m_isIdempotent);
     } else if (aName == "g") {
       reader.Read(aValue, header.m_generation);
+    } else if (aName == "k") {
+      reader.Read(ParseIdentifier<ContentTag>(aValue),
+                  header.m_content.emplace());
     }
   });
   if (!reader.IsComplete(parameters)) {
--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -290,6 +290,10 @@
     m_log.Write("malformed", "\"why\":\"no request identifier\"");
     return;
   }
+  event.m_content = MakeContentKey({ event.m_hostName,
+                                     aRequest.m_method,
+                                     aRequest.m_target,
+                                     aRequest.m_body });
   const CallId call =
     AddPendingCall(std::move(aRequest), aResponder, kEntryIngress);
   event.m_call = call;
--- a/modules/cr_suspects/cr_suspects.h
+++ b/modules/cr_suspects/cr_suspects.h
@@ -3,5 +3,6 @@
 /** Requests that crash backend servers: decides which are suspects and which
    are refused. No I/O and no clock. */
 
+#include "cr_suspects/content/cr_ContentKey.h"
 #include "cr_suspects/lane/cr_SuspectQueue.h"
 #include "cr_suspects/suspects/cr_SuspectTable.h"
