--- a/modules/cr_relay/tests/cr_RelayTestMesh.cpp
+++ b/modules/cr_relay/tests/cr_RelayTestMesh.cpp
@@ -46,6 +46,7 @@
 RelayTestMesh::Stop(std::size_t aHost)
 {
   m_hosts[aHost].m_isDown = true;
+  m_hosts[aHost].m_running.clear();
   m_hosts[aHost].m_decisions.reset();
 }
 
@@ -73,6 +74,7 @@
     event.m_hostName = "shop";
     event.m_target = aTarget;
     event.m_callerTimeout = Seconds(5);
+    event.m_content = MakeContentKey({ aTarget });
     m_targets[event.m_call] = aTarget;
     Feed(aHost, event);
   });
@@ -103,6 +105,38 @@
   m_now = end;
 }
 
+void
+RelayTestMesh::CrashServer(std::size_t aHost)
+{
+  Host& host = m_hosts[aHost];
+  host.m_isServerDown = true;
+  for (const CallId call : std::exchange(host.m_running, {})) {
+    Feed(aHost, DispatchEnded{ call, DispatchResult::Broken, std::nullopt });
+  }
+  After(m_serverDownTime, [this, aHost] {
+    Host& restarted = m_hosts[aHost];
+    restarted.m_isServerDown = false;
+    restarted.m_server += "'";
+    ++restarted.m_serverStart;
+    Announce(aHost);
+  });
+}
+
+std::size_t
+RelayTestMesh::CountRuns(const std::string& aTarget, Instant aSince) const
+{
+  std::size_t count = 0;
+  for (const Host& host : m_hosts) {
+    count += std::count_if(host.m_arrivals.begin(),
+                           host.m_arrivals.end(),
+                           [&](const Arrival& aArrival) {
+                             return aArrival.m_target == aTarget &&
+                                    aArrival.m_time >= aSince;
+                           });
+  }
+  return count;
+}
+
 std::size_t
 RelayTestMesh::MaxArrivals(std::size_t aHost, Instant aSince) const
 {
@@ -180,6 +214,10 @@
   } else if (std::holds_alternative<CheckHealth>(aAction)) {
     After(kHop, [this, aHost] {
       const Host& host = m_hosts[aHost];
+      if (host.m_isServerDown) {
+        Feed(aHost, HealthChecked{});
+        return;
+      }
       const bool isHealthy =
         !host.m_condition.m_isLeaving || host.m_hasFalseHealth;
       Feed(aHost, HealthChecked{ isHealthy, host.m_server, kSlots });
@@ -212,21 +250,45 @@
                                const DispatchRequest& aDispatch)
 {
   Host& host = m_hosts[aHost];
-  const auto forward = m_forwards.find(aDispatch.m_call);
+  const CallId call = aDispatch.m_call;
+  const auto forward = m_forwards.find(call);
   const std::size_t origin =
     forward != m_forwards.end() ? forward->second.m_origin : aHost;
-  const bool isRightServer = aDispatch.m_server == host.m_server;
-  if (isRightServer) {
-    host.m_arrivals.push_back({ m_now, origin, aDispatch.m_server });
+  if (host.m_isServerDown || aDispatch.m_server != host.m_server) {
+    const DispatchResult result = host.m_isServerDown
+                                    ? DispatchResult::Unreachable
+                                    : DispatchResult::WrongServer;
+    After(kHop, [this, aHost, call, result] {
+      Feed(aHost, DispatchEnded{ call, result, std::nullopt });
+    });
+    return;
   }
-  After(isRightServer ? host.m_serviceTime : kHop,
-        [this, aHost, call = aDispatch.m_call, isRightServer] {
-          Feed(aHost,
-               DispatchEnded{ call,
-                              isRightServer ? DispatchResult::Answered
-                                            : DispatchResult::WrongServer,
-                              m_hosts[aHost].m_condition });
-        });
+  const std::string target = TargetOf(call);
+  host.m_arrivals.push_back({ m_now, origin, aDispatch.m_server, target });
+  host.m_running.insert(call);
+  After(host.m_serviceTime, [this, aHost, call, target] {
+    if (!m_hosts[aHost].m_running.contains(call)) {
+      return;
+    }
+    if (m_crashingTargets.contains(target)) {
+      m_crashes[target].push_back(m_now);
+      CrashServer(aHost);
+      return;
+    }
+    m_hosts[aHost].m_running.erase(call);
+    Feed(aHost,
+         DispatchEnded{
+           call, DispatchResult::Answered, m_hosts[aHost].m_condition });
+  });
+}
+
+/* Returns the target of a customer's request, or of one that was forwarded. */
+std::string
+RelayTestMesh::TargetOf(CallId aCall) const
+{
+  const auto forward = m_forwards.find(aCall);
+  return m_targets.at(forward != m_forwards.end() ? forward->second.m_call
+                                                  : aCall);
 }
 
 void
@@ -234,6 +296,9 @@
 {
   const std::uint64_t start = m_hosts[aHost].m_starts;
   const auto answer = [this, aHost, aCall, start] {
+    if (m_isPlatformAway) {
+      return false;
+    }
     StoreAnswer result = m_platform.Execute(aCall.m_request);
     const auto* changes = std::get_if<RowChanges>(&result);
     if (changes != nullptr && changes->m_changes.empty()) {
--- a/modules/cr_relay/tests/cr_RelayTestMesh.h
+++ b/modules/cr_relay/tests/cr_RelayTestMesh.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,7 @@
     /* Host at which the request began. */
     std::size_t m_origin = 0;
     std::string m_server;
+    std::string m_target;
   };
 
   struct Host
@@ -34,6 +36,10 @@
     ServerCondition m_condition;
     Duration m_serviceTime = Milliseconds(100);
     bool m_isDown = false;
+    /* The server has crashed and is not back yet. */
+    bool m_isServerDown = false;
+    /* Calls that the server runs. */
+    std::set<CallId> m_running;
     /* A server that leaves still answers its health path as healthy. */
     bool m_hasFalseHealth = false;
     std::uint64_t m_starts = 0;
@@ -62,6 +68,15 @@
   /** The host's server announces itself to its node. */
   void Announce(std::size_t aHost);
 
+  /** Ends the host's server and all requests that it runs. It starts again
+      after m_serverDownTime. */
+  void CrashServer(std::size_t aHost);
+
+  /** Returns the number of requests with the target that began in servers at
+      aSince or later. */
+  std::size_t CountRuns(const std::string& aTarget,
+                        Instant aSince = Instant::min()) const;
+
   /** Advances the time. */
   void Run(Duration aTime);
 
@@ -74,8 +89,15 @@
   Instant m_now{ Seconds(100) };
   std::size_t m_served = 0;
   std::size_t m_refused = 0;
-  /** Served requests by the start of their target. */
+  /** Served requests by their target. */
   std::map<std::string, std::size_t> m_servedByTarget;
+  /** Requests with these targets crash each server that runs them. */
+  std::set<std::string> m_crashingTargets;
+  /** Times at which a request with the target crashed a server. */
+  std::map<std::string, std::vector<Instant>> m_crashes;
+  Duration m_serverDownTime = Seconds(3);
+  /** The platform answers no call. */
+  bool m_isPlatformAway = false;
 
 private:
   /* A forwarded request: where it began and to which process it went. */
@@ -93,6 +115,7 @@
   void ExecuteDispatch(std::size_t aHost, const DispatchRequest& aDispatch);
   void ExecuteStoreCall(std::size_t aHost, const RelayCallStore& aCall);
   void AnswerWatches();
+  std::string TargetOf(CallId aCall) const;
 
   const std::vector<RouteDescription> m_routes;
   std::multimap<Instant, std::function<void()>> m_queue;
--- a/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
@@ -19,12 +19,14 @@
   header.m_maxWait = Milliseconds(19);
   header.m_isChildCall = true;
   header.m_generation = 12;
+  header.m_content = ContentKey{ 7, 8 };
   const auto readHeader = DecodeRelayHeader(EncodeRelayHeader(header));
   ASSERT_TRUE(readHeader);
   EXPECT_EQ(readHeader->m_service, header.m_service);
   EXPECT_EQ(readHeader->m_maxWait, header.m_maxWait);
   EXPECT_TRUE(readHeader->m_isChildCall);
   EXPECT_FALSE(readHeader->m_isIdempotent);
+  EXPECT_EQ(readHeader->m_content, header.m_content);
   RelayReport report;
   report.m_outcome = Outcome::NotRun;
   report.m_reason = Reason::Leaving;
@@ -43,6 +45,7 @@
                             "null",
                             ";s=a;r=b;t=x;w=1;u=0;b=0;i=0;g=1",
                             ";s=a;r=b;t=1;w=1;u=0;b=0;i=7;g=1",
+                            ";s=a;r=b;t=1;w=1;u=0;b=0;i=0;g=1;k=12",
                             ";s=a;r=b;t=1;w=1;u=0;b=0;i=0;g=1;n=\"a\";v=2",
                             ";o=unknown;y=none;e=0;h=0;c=0;l=1;p=1;g=1;n=\"a\"",
                             ";o=no;y=none;e=0;h=0;c=0;l=1;p=1;g=1",
@@ -296,6 +299,21 @@
   EXPECT_EQ(requestsRun(), requestsBefore + 3);
 }
 
+/* Incident BUDGET: the server crashes while it runs a request that came over a
+   connection used before. */
+TEST(RelayServer, RequestThatRanInACrashedServerIsNotReportedAsNotRun)
+{
+  RelayFleet fleet({ "status" });
+  fleet.WriteRoutes(1, { "status" });
+  ASSERT_EQ(fleet.SendUntil(0, "/status/7", kHttpOk), kHttpOk);
+  fleet.At(0).m_responseDelay = Seconds(2);
+  auto running = std::async(
+    std::launch::async, [&] { return fleet.Send(0, "/status/8").m_status; });
+  std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  fleet.At(0).m_server->Close();
+  EXPECT_EQ(running.get(), kHttpBadGateway);
+}
+
 TEST(RelayServer, MalformedInputAtEachPortIsRejected)
 {
   RelayFleet fleet({ "status" });
