A request that was in a crashed server counts as one that may have run

What callers saw: 503, which promises that a request has not run, for requests that had run for up to 0.3 s in a server that crashed; and one request was sent to up to six servers though its route allows two or three.

Cause: the client sends a request again when a reused connection breaks. The server is gone by then, the second connection is refused, and that alone decided the result: 'unreachable', not run, nothing sent. The entry offered them to other hosts beyond the route's attempts and the retry budget.

What was sent at least once is now never 'unreachable'. The other place that reads this result, the forwarding between nodes, asked only whether something had been sent, and is right.

--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -226,7 +226,7 @@
                                             HttpResult&& aResult) const
 {
   if (const auto* failure = std::get_if<HttpFailure>(&aResult)) {
-    if (failure->m_unreachable || !failure->m_sent) {
+    if (!failure->m_sent) {
       return DispatchResult::Unreachable;
     }
     return failure->m_timedOut ? DispatchResult::TimedOut
