--- a/modules/cr_membership/directory/cr_FleetDirectory.cpp
+++ b/modules/cr_membership/directory/cr_FleetDirectory.cpp
@@ -59,6 +59,18 @@
   return ready;
 }
 
+std::vector<NodeRow>
+FleetDirectory::OfService(const std::string& aService) const
+{
+  std::vector<NodeRow> rows;
+  for (const auto& [host, entry] : m_nodes) {
+    if (entry.m_row.m_service == aService) {
+      rows.push_back(entry.m_row);
+    }
+  }
+  return rows;
+}
+
 std::map<std::string, std::size_t, std::less<>>
 FleetDirectory::CountByService() const
 {
--- a/modules/cr_membership/directory/cr_FleetDirectory.h
+++ b/modules/cr_membership/directory/cr_FleetDirectory.h
@@ -38,6 +38,9 @@
       service and ordered by host. */
   std::map<std::string, std::vector<NodeRow>> ReadyByService() const;
 
+  /** Returns the rows of all nodes of the service, ordered by host. */
+  std::vector<NodeRow> OfService(const std::string& aService) const;
+
   /** Returns the number of nodes of each service. */
   std::map<std::string, std::size_t, std::less<>> CountByService() const;
 
--- a/modules/cr_node/flow/cr_DirectoryFlow.cpp
+++ b/modules/cr_node/flow/cr_DirectoryFlow.cpp
@@ -54,7 +54,7 @@
 {
   std::uint64_t digest = 0;
   for (const Suspect& suspect : aSuspects) {
-    digest ^= Hash(Hash(suspect.m_request.m_high, suspect.m_request.m_low),
+    digest ^= Hash(Hash(suspect.m_key.m_high, suspect.m_key.m_low),
                    Hash(suspect.m_crashes, suspect.m_cleared));
   }
   return digest;
--- a/modules/cr_node/flow/cr_EntryFlow.cpp
+++ b/modules/cr_node/flow/cr_EntryFlow.cpp
@@ -302,7 +302,7 @@
   const std::uint32_t crashes =
     m_shared.m_suspects.WithLock([&](const SuspectTable& aTable) {
       return aTable.Crashes(
-        SuspectKey(aCall.m_header.m_request, aCall.m_header.m_operation));
+        MakeRequestKey(aCall.m_header.m_request, aCall.m_header.m_operation));
     });
   aCall.m_attempt = Attempt{ attempt, aTarget, aNow, crashes };
   m_attempts.emplace(attempt, aCall.m_id);
@@ -539,7 +539,7 @@
 {
   return m_shared.m_policy.m_suspects &&
          m_shared.m_suspects.WithLock([&](const SuspectTable& aTable) {
-           return aTable.IsRefused(SuspectKey(aRequest, aOperation), aNow);
+           return aTable.IsRefused(MakeRequestKey(aRequest, aOperation), aNow);
          });
 }
 
@@ -550,8 +550,8 @@
                            const CallReport& aReport,
                            Instant aNow)
 {
-  const RequestId key =
-    SuspectKey(aCall.m_header.m_request, aCall.m_header.m_operation);
+  const RequestKey key =
+    MakeRequestKey(aCall.m_header.m_request, aCall.m_header.m_operation);
   const std::uint32_t crashes = aCall.m_attempt->m_crashesBefore + 1;
   if (aReport.m_reason == Reason::ServerFailed) {
     m_shared.m_suspects.WithLock([&](SuspectTable& aTable) {
--- a/modules/cr_node/flow/cr_GateFlow.cpp
+++ b/modules/cr_node/flow/cr_GateFlow.cpp
@@ -20,10 +20,10 @@
 /* Time within which all calls of a crashed server are reported as failed. */
 constexpr Duration kCrashReportWindow = Milliseconds(500);
 
-RequestId
-SuspectKeyOf(const CallHeader& aHeader)
+RequestKey
+RequestKeyOf(const CallHeader& aHeader)
 {
-  return SuspectKey(aHeader.m_request, aHeader.m_operation);
+  return MakeRequestKey(aHeader.m_request, aHeader.m_operation);
 }
 
 /* Returns whether the operation calls the service, directly or indirectly. The
@@ -172,7 +172,7 @@
   report.m_status = aEvent.m_status;
   report.m_unusedAttempts = call->second.m_attemptBudget.Available();
   m_shared.m_suspects.WithLock(
-    [&, key = SuspectKeyOf(call->second.m_header)](SuspectTable& aTable) {
+    [&, key = RequestKeyOf(call->second.m_header)](SuspectTable& aTable) {
       aTable.Clear(key, aMoment.m_now);
     });
   FinishCall(aEvent.m_call, report, aEvent.m_payload, aMoment, aOutput);
@@ -356,7 +356,7 @@
 GateFlow::EnqueueCall(CallId aCall, Moment aMoment, FlowOutput& aOutput)
 {
   Call& call = m_calls.at(aCall);
-  const RequestId key = SuspectKeyOf(call.m_header);
+  const RequestKey key = RequestKeyOf(call.m_header);
   bool isRefused = false;
   if (m_shared.m_policy.m_suspects) {
     m_shared.m_suspects.WithLock([&](SuspectTable& aTable) {
@@ -389,7 +389,7 @@
 GateFlow::RunNextSuspect(Moment aMoment, FlowOutput& aOutput)
 {
   while (const auto next = std::exchange(m_nextSuspect, std::nullopt)) {
-    const RequestId key = SuspectKeyOf(m_calls.at(*next).m_header);
+    const RequestKey key = RequestKeyOf(m_calls.at(*next).m_header);
     const bool isRefused =
       m_shared.m_suspects.WithLock([&](const SuspectTable& aTable) {
         return aTable.IsRefused(key, aMoment.m_now);
@@ -421,7 +421,7 @@
     m_suspectBlamedUntil = aMoment.m_now + kCrashReportWindow;
   }
   m_shared.m_suspects.WithLock(
-    [&, key = SuspectKeyOf(aCall.m_header)](SuspectTable& aTable) {
+    [&, key = RequestKeyOf(aCall.m_header)](SuspectTable& aTable) {
       aTable.RecordCrash(std::span(&key, 1), aMoment.m_now);
     });
   return true;
--- a/modules/cr_process/tests/cr_ParserFuzzTest.cpp
+++ b/modules/cr_process/tests/cr_ParserFuzzTest.cpp
@@ -28,7 +28,7 @@
                        "shop",   ServerState::Ready };
   message.m_rows = { message.m_sender };
   message.m_generation = 7;
-  message.m_suspects = { { RequestId{ 1, 2 }, 1, Seconds(3) } };
+  message.m_suspects = { { RequestKey{ 1, 2 }, 1, Seconds(3) } };
   message.m_bucketDigests.assign(kBucketCount, 9);
   message.m_requestedBuckets = { 1, 2 };
   return WriteJson(EncodeGossip(message));
--- a/modules/cr_process/wire/cr_GossipWire.cpp
+++ b/modules/cr_process/wire/cr_GossipWire.cpp
@@ -23,7 +23,7 @@
 Encode(const Suspect& aSuspect)
 {
   Json::Value value(Json::arrayValue);
-  value.append(ToText(aSuspect.m_request));
+  value.append(ToText(aSuspect.m_key));
   value.append(aSuspect.m_crashes);
   value.append(Json::Int64(ToMilliseconds(aSuspect.m_remaining)));
   value.append(aSuspect.m_cleared);
@@ -33,7 +33,7 @@
 Expected<Suspect>
 DecodeSuspect(const Json::Value& aValue)
 {
-  const auto request = ParseIdentifier<RequestTag>(aValue[0U].asString());
+  const auto request = ParseIdentifier<RequestKeyTag>(aValue[0U].asString());
   if (!request) {
     return Failure(ErrorCode::Malformed, "a suspect's request is malformed");
   }
--- a/modules/cr_relay/decisions/cr_RelayDecisions.cpp
+++ b/modules/cr_relay/decisions/cr_RelayDecisions.cpp
@@ -72,6 +72,12 @@
            IsReady() };
 }
 
+std::vector<Suspect>
+RelayDecisions::Suspects(Instant aNow) const
+{
+  return m_control.Suspects(aNow);
+}
+
 bool
 RelayDecisions::IsReady() const
 {
--- a/modules/cr_relay/decisions/cr_RelayDecisions.h
+++ b/modules/cr_relay/decisions/cr_RelayDecisions.h
@@ -50,6 +50,9 @@
   /** Returns the status at the given time. */
   RelayStatus Status(Instant aNow) const;
 
+  /** Returns the suspects to be reported to a node that asks. */
+  std::vector<Suspect> Suspects(Instant aNow) const;
+
   /** Returns whether this node accepts requests from customers. */
   bool IsReady() const;
 
--- a/modules/cr_relay/event/cr_RelayAction.h
+++ b/modules/cr_relay/event/cr_RelayAction.h
@@ -102,6 +102,16 @@
 {
   Endpoint m_peer;
   Generation m_newerThan = 0;
+  /** Reported to the other node, which reports its own in its answer. */
+  std::vector<Suspect> m_suspects{};
+};
+
+/** Reports requests that may crash backend servers to other nodes, without
+    waiting for answers. */
+struct ReportSuspects
+{
+  std::vector<Endpoint> m_peers;
+  std::vector<Suspect> m_suspects;
 };
 
 /** Writes one decision to the log. */
@@ -127,6 +137,7 @@
                                  RelayCallStore,
                                  ReadRoutes,
                                  FetchPeerRoutes,
+                                 ReportSuspects,
                                  LogDecision>;
 
 /** Actions in the order in which they must be executed. */
--- a/modules/cr_relay/event/cr_RelayEvent.h
+++ b/modules/cr_relay/event/cr_RelayEvent.h
@@ -3,6 +3,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "cr_membership/cr_membership.h"
 #include "cr_relay/event/cr_RelayTypes.h"
@@ -22,7 +23,8 @@
   /** Time that the caller waits for an answer; the route's timeout applies if
       the request does not state it. */
   std::optional<Duration> m_callerTimeout;
-  ContentKey m_content;
+  /** Made by MakeContentKey() of what the backend server reads. */
+  RequestKey m_content;
 };
 
 /** Another node forwarded a request to this node's gate. */
@@ -63,6 +65,8 @@
   DispatchResult m_result = DispatchResult::Broken;
   /** Condition in the server's answer; empty without an answer. */
   std::optional<ServerCondition> m_condition{};
+  /** The connection broke, and the server accepted no other one. */
+  bool m_isServerGone = false;
 };
 
 /** The backend server announced its state. */
@@ -87,6 +91,8 @@
   std::uint32_t m_slots = 0;
   /** Condition in the server's answer; empty without an answer. */
   std::optional<ServerCondition> m_condition{};
+  /** The server accepted no connection. */
+  bool m_isUnreachable = false;
 };
 
 /** The platform answered a request. */
@@ -110,6 +116,14 @@
 {
   /** The other node answered, whether or not it has routes. */
   bool m_isAnswered = false;
+  /** Suspects that the other node reported. */
+  std::vector<Suspect> m_suspects{};
+};
+
+/** Another node reported requests that may crash backend servers. */
+struct SuspectsReported
+{
+  std::vector<Suspect> m_suspects;
 };
 
 /** The time that NextWakeup() returned was reached. */
@@ -134,6 +148,7 @@
                                 RelayStoreAnswered,
                                 RoutesOffered,
                                 PeerRoutesFetched,
+                                SuspectsReported,
                                 RelayTimerDue,
                                 RelayShutdownRequested>;
 
--- a/modules/cr_relay/event/cr_RelayTypes.h
+++ b/modules/cr_relay/event/cr_RelayTypes.h
@@ -55,7 +55,9 @@
   /** Generation of the configuration that is active at the sending node. */
   Generation m_generation = 0;
   /** Empty if the sending node does not report it. */
-  std::optional<ContentKey> m_content{};
+  std::optional<RequestKey> m_content{};
+  /** What the sending node knows of crashes by the request, if anything. */
+  std::optional<Suspect> m_suspect{};
   /** The last report about the gate's backend server, if the sending node has
       one; a gate that has restarted does not know it. */
   std::optional<ServerReport> m_knownServer{};
@@ -82,6 +84,8 @@
   Generation m_generation = 0;
   /** Set if the gate's backend server has a rate limit or is leaving. */
   std::optional<ServerReport> m_server{};
+  /** What the gate knows of crashes by the request, if anything. */
+  std::optional<Suspect> m_suspect{};
 };
 
 /** Result of dispatching a request to the backend server. */
@@ -105,6 +109,16 @@
   TimedOut
 };
 
+/** Returns the report on a request with this result, without the state of the
+    gate. Thread safe. */
+RelayReport
+ReportOf(DispatchResult aResult);
+
+/** Returns the report on a request that was not dispatched, without the state
+    of the gate. Thread safe. */
+RelayReport
+NotRunReport(Reason aReason);
+
 /** Returns the name of the result in logs and metrics. Thread safe. */
 std::string_view
 ToText(DispatchResult aResult);
--- a/modules/cr_relay/flow/cr_RelayControlFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.cpp
@@ -25,6 +25,8 @@
 constexpr Duration kLostRowGrace = Seconds(20);
 /* Mean time between two requests to random nodes for newer routes. */
 constexpr Duration kRandomFetchInterval = Seconds(1);
+/* Max number of suspects that two nodes report to each other at a time. */
+constexpr std::size_t kMaxExchangedSuspects = 32;
 /* Number of nodes that a started node asks until one answers. */
 constexpr std::size_t kMaxPeerAttempts = 3;
 
@@ -91,13 +93,22 @@
 
 void
 RelayControlFlow::Handle(const PeerRoutesFetched& aEvent,
-                         Instant /*aNow*/,
+                         Instant aNow,
                          RelayActions& /*aActions*/)
 {
+  m_shared.m_suspects.Merge(aEvent.m_suspects, aNow);
   m_isFetchingPeerRoutes = false;
   m_hasAskedPeer |= aEvent.m_isAnswered;
 }
 
+void
+RelayControlFlow::Handle(const SuspectsReported& aEvent,
+                         Instant aNow,
+                         RelayActions& /*aActions*/)
+{
+  m_shared.m_suspects.Merge(aEvent.m_suspects, aNow);
+}
+
 void
 RelayControlFlow::Handle(const RoutesOffered& aEvent,
                          Instant /*aNow*/,
@@ -190,6 +201,12 @@
   return due;
 }
 
+std::vector<Suspect>
+RelayControlFlow::Suspects(Instant aNow) const
+{
+  return m_shared.m_suspects.Recent(aNow, kMaxExchangedSuspects);
+}
+
 bool
 RelayControlFlow::IsLoaded() const
 {
@@ -412,8 +429,8 @@
 {
   m_isFetchingPeerRoutes = true;
   m_nextPeerFetch = aNow + kMinPeerFetchInterval;
-  aActions.emplace_back(
-    FetchPeerRoutes{ aPeer, m_shared.m_routes.ActiveGeneration() });
+  aActions.emplace_back(FetchPeerRoutes{
+    aPeer, m_shared.m_routes.ActiveGeneration(), Suspects(aNow) });
 }
 
 /* Asks until a node has answered, none is left to ask, or enough were asked. */
@@ -421,15 +438,10 @@
 RelayControlFlow::AskFirstPeerForRoutes(Instant aNow, RelayActions& aActions)
 {
   if (!m_hasAskedPeer && !m_isFetchingPeerRoutes && m_nodes.IsLoaded()) {
-    const std::vector<Endpoint> peers = ReadyPeers();
+    const std::vector<Endpoint> peers = FirstPeers();
     m_hasAskedPeer = m_peerAttempts >= std::min(kMaxPeerAttempts, peers.size());
     if (!m_hasAskedPeer) {
-      const std::size_t first =
-        Hash(m_shared.m_settings.m_host, m_shared.m_settings.m_seed) %
-        peers.size();
-      const Endpoint& peer = peers.at((first + m_peerAttempts) % peers.size());
-      ++m_peerAttempts;
-      FetchRoutesFrom(peer, aNow, aActions);
+      FetchRoutesFrom(peers.at(m_peerAttempts++), aNow, aActions);
     }
   }
   if (m_hasAskedPeer && m_heldRoutes) {
@@ -444,6 +456,7 @@
   if (aNow < m_nextRandomFetch || !IsLoaded()) {
     return;
   }
+  m_shared.m_suspects.Advance(aNow);
   m_nextRandomFetch =
     aNow + Scale(kRandomFetchInterval, 0.5 + m_random.NextDouble());
   const std::vector<Endpoint> peers = ReadyPeers();
@@ -452,6 +465,36 @@
   }
 }
 
+/* Returns the nodes that a started node asks, in this order: first those of its
+   own service, which know the requests that crash its servers. */
+std::vector<Endpoint>
+RelayControlFlow::FirstPeers() const
+{
+  const RelaySettings& settings = m_shared.m_settings;
+  std::vector<Endpoint> own;
+  std::vector<Endpoint> others;
+  for (const auto& [service, rows] : m_shared.m_directory.ReadyByService()) {
+    for (const NodeRow& row : rows) {
+      if (row.m_host != settings.m_host) {
+        (service == settings.m_service ? own : others).push_back(row.m_peer);
+      }
+    }
+  }
+  const auto rotate = [&](std::vector<Endpoint>& aPeers) {
+    if (!aPeers.empty()) {
+      std::rotate(aPeers.begin(),
+                  aPeers.begin() +
+                    static_cast<std::ptrdiff_t>(
+                      Hash(settings.m_host, settings.m_seed) % aPeers.size()),
+                  aPeers.end());
+    }
+  };
+  rotate(own);
+  rotate(others);
+  own.insert(own.end(), others.begin(), others.end());
+  return own;
+}
+
 /* Returns the nodes with a ready backend server, without this one. */
 std::vector<Endpoint>
 RelayControlFlow::ReadyPeers() const
--- a/modules/cr_relay/flow/cr_RelayControlFlow.h
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.h
@@ -20,7 +20,8 @@
     intervals, as requests may go to the own data centre only (anti-entropy:
     Demers et al., 1987). A node that has started asks another one for its
     routes before it uses any, because the platform may have come back from a
-    copy that is older than what the fleet uses. Not thread safe. */
+    copy that is older than what the fleet uses. With these requests nodes also
+    exchange the suspects that they know. Not thread safe. */
 class RelayControlFlow
 {
 public:
@@ -43,6 +44,11 @@
               Instant aNow,
               RelayActions& aActions);
 
+  /** Merges the suspects that another node reports. */
+  void Handle(const SuspectsReported& aEvent,
+              Instant aNow,
+              RelayActions& aActions);
+
   /** Called when another node reports its active generation. */
   void OnPeerGeneration(Generation aGeneration,
                         const Endpoint& aPeer,
@@ -60,6 +66,9 @@
   /** Returns the time at which Advance() must be called next. */
   std::optional<Instant> NextWakeup() const;
 
+  /** Returns the suspects to be reported to another node. */
+  std::vector<Suspect> Suspects(Instant aNow) const;
+
   /** Returns whether the fleet and the routes are loaded. */
   bool IsLoaded() const;
 
@@ -93,6 +102,7 @@
   void FetchRoutesFrom(const Endpoint& aPeer,
                        Instant aNow,
                        RelayActions& aActions);
+  std::vector<Endpoint> FirstPeers() const;
   std::vector<Endpoint> ReadyPeers() const;
   void DropLostRows(Instant aNow, RelayActions& aActions);
   void LogPlatformReachability(RelayActions& aActions);
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
@@ -262,6 +262,7 @@
   header.m_isIdempotent = aCall.m_route->m_idempotent;
   header.m_generation = m_shared.m_routes.ActiveGeneration();
   header.m_content = aCall.m_content;
+  header.m_suspect = m_shared.m_suspects.Find(aCall.m_content, aNow);
   const auto known = m_shared.m_serverReports.find(target->m_host);
   if (known != m_shared.m_serverReports.end()) {
     header.m_knownServer = known->second;
@@ -306,6 +307,9 @@
 {
   RecordLoad(aCall, aReport, aNow);
   RecordServer(aCall.m_target->m_host, aReport);
+  if (aReport.m_suspect) {
+    m_shared.m_suspects.Merge({ &*aReport.m_suspect, 1 }, aNow);
+  }
   ReportAttempt(aCall, ToAttemptResult(aReport, aNow - aCall.m_sent), aNow);
   aCall.m_runs += aReport.m_outcome != Outcome::NotRun ? 1 : 0;
   aCall.m_lastReason = aReport.m_reason;
@@ -346,6 +350,9 @@
   if (!m_shared.m_settings.m_hasOverloadControl || aCall.m_deadline <= aNow) {
     return false;
   }
+  if (m_shared.m_suspects.IsRefused(aCall.m_content, aNow)) {
+    return false;
+  }
   if (IsTargetUnavailable(aReport)) {
     return true;
   }
@@ -476,7 +483,9 @@
   refusal.m_status = aStatus;
   refusal.m_reason = aReason;
   if (aStatus == kStatusUnavailable) {
-    refusal.m_retryAfter = RetryAfter(aCall, aNow);
+    refusal.m_retryAfter =
+      std::max(RetryAfter(aCall, aNow),
+               m_shared.m_suspects.RefusedFor(aCall.m_content, aNow));
   }
   if (const RouteAdmission* admission = FindAdmission(aCall)) {
     refusal.m_share = admission->Share();
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.h
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.h
@@ -62,7 +62,7 @@
     RouteTablePointer m_table;
     const RouteDescription* m_route = nullptr;
     std::string m_service;
-    ContentKey m_content;
+    RequestKey m_content;
     Instant m_arrived;
     Instant m_deadline;
     bool m_isChildCall = false;
--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -21,57 +21,6 @@
    between announcements of a server. */
 constexpr Duration kHealthCheckInterval = Milliseconds(700);
 
-Reason
-ReasonOf(DispatchResult aResult)
-{
-  switch (aResult) {
-    case DispatchResult::RefusedNotRun:
-      return Reason::ServerFailed;
-    case DispatchResult::WrongServer:
-    case DispatchResult::Unreachable:
-      return Reason::NoServer;
-    case DispatchResult::Broken:
-      return Reason::ConnectionLost;
-    case DispatchResult::TimedOut:
-      return Reason::DeadlineTooShort;
-    case DispatchResult::CallerLeft:
-    case DispatchResult::Answered:
-    case DispatchResult::AnsweredError:
-      break;
-  }
-  return Reason::None;
-}
-
-RelayReport
-ReportOf(DispatchResult aResult)
-{
-  RelayReport report;
-  report.m_reason = ReasonOf(aResult);
-  switch (aResult) {
-    case DispatchResult::Answered:
-    case DispatchResult::AnsweredError:
-      report.m_outcome = Outcome::Completed;
-      report.m_isServerError = aResult == DispatchResult::AnsweredError;
-      report.m_hasReachedServer = true;
-      break;
-    case DispatchResult::RefusedNotRun:
-      report.m_outcome = Outcome::NotRun;
-      report.m_hasReachedServer = true;
-      break;
-    case DispatchResult::WrongServer:
-    case DispatchResult::Unreachable:
-    case DispatchResult::CallerLeft:
-      report.m_outcome = Outcome::NotRun;
-      break;
-    case DispatchResult::Broken:
-    case DispatchResult::TimedOut:
-      report.m_outcome = Outcome::Unknown;
-      report.m_hasReachedServer = true;
-      break;
-  }
-  return report;
-}
-
 /* Returns the limit as a JSON value. */
 std::string
 ToText(std::optional<double> aRateLimit)
@@ -79,16 +28,6 @@
   return aRateLimit ? fmt::format("{:.1f}", *aRateLimit) : "null";
 }
 
-/* Report on a request that was not dispatched. */
-RelayReport
-NotRunReport(Reason aReason)
-{
-  RelayReport report;
-  report.m_outcome = Outcome::NotRun;
-  report.m_reason = aReason;
-  return report;
-}
-
 }
 
 RelayGateFlow::RelayGateFlow(RelayShared& aShared)
@@ -116,17 +55,11 @@
   }
   m_load.CountArrival(aEvent.m_header.m_route, aNow);
   m_origins.Count(aEvent.m_header.m_route, aEvent.m_originService, aNow);
-  m_calls.emplace(
-    aEvent.m_call,
-    Call{ aEvent.m_header, aNow + aEvent.m_header.m_remaining, {}, {}, false });
-  GateDecisions decisions;
-  m_queue.Offer({ aEvent.m_call,
-                  aEvent.m_header.m_isChildCall,
-                  aNow + aEvent.m_header.m_maxWait,
-                  aEvent.m_header.m_priority },
-                aNow,
-                decisions);
-  ApplyDecisions(decisions, aNow, aActions);
+  Call call;
+  call.m_header = aEvent.m_header;
+  call.m_deadline = aNow + aEvent.m_header.m_remaining;
+  m_calls.emplace(aEvent.m_call, std::move(call));
+  Enqueue(aEvent.m_call, aNow, aActions);
 }
 
 void
@@ -138,7 +71,8 @@
   if (call == m_calls.end()) {
     return;
   }
-  const bool isWaiting = m_queue.Withdraw(aEvent.m_call);
+  const bool isWaiting =
+    m_suspectQueue.IsWaiting(aEvent.m_call) || m_queue.Withdraw(aEvent.m_call);
   const Instant arrived =
     call->second.m_deadline - call->second.m_header.m_remaining;
   aActions.emplace_back(
@@ -149,7 +83,7 @@
                              call->second.m_header.m_route,
                              ToMilliseconds(aNow - arrived)) });
   if (isWaiting) {
-    m_calls.erase(call);
+    Erase(aEvent.m_call);
     return;
   }
   call->second.m_isCallerDisconnected = true;
@@ -185,16 +119,21 @@
                   ToMilliseconds(aNow - call.m_dispatched),
                   m_queue.Running(),
                   !call.m_isCallerDisconnected,
-                  ToText(call.m_header.m_content.value_or(ContentKey()))) });
+                  ToText(call.m_header.m_content.value_or(RequestKey()))) });
   }
   if (aEvent.m_condition && aEvent.m_result != DispatchResult::WrongServer) {
     OnConditionReported(call, *aEvent.m_condition, aNow, aActions);
   }
+  if (aEvent.m_result == DispatchResult::Broken) {
+    OnConnectionBroken(aEvent, aNow, aActions);
+    return;
+  }
+  OnEnded(aEvent, aNow, aActions);
   // A cancelled connection attempt says nothing about the server.
   const bool isCancelled = call.m_isCallerDisconnected &&
                            aEvent.m_result == DispatchResult::Unreachable;
   if (call.m_isCallerDisconnected) {
-    m_calls.erase(found);
+    Erase(aEvent.m_call);
   } else {
     Answer(aEvent.m_call, ReportOf(aEvent.m_result), aNow, aActions);
   }
@@ -237,6 +176,12 @@
                       RelayActions& aActions)
 {
   m_isCheckingHealth = false;
+  const bool isSameServer = aEvent.m_id.empty() || aEvent.m_id == Server().m_id;
+  if (aEvent.m_isUnreachable || !isSameServer) {
+    m_crashDetector.OnUnreachable();
+  } else if (aEvent.m_condition) {
+    m_crashDetector.OnAlive();
+  }
   const bool isLeaving = aEvent.m_condition && aEvent.m_condition->m_isLeaving;
   if (!aEvent.m_isHealthy || aEvent.m_id.empty() || isLeaving) {
     return;
@@ -263,14 +208,14 @@
 void
 RelayGateFlow::Advance(Instant aNow, RelayActions& aActions)
 {
+  DecideCrash(aNow, aActions);
+  RefuseLateSuspects(aNow, aActions);
+  RunNextSuspect(aNow, aActions);
   GateDecisions decisions;
   m_queue.Advance(aNow, decisions);
   ApplyDecisions(decisions, aNow, aActions);
-  const RoutedService* service = FindServiceToCheck();
-  if (service != nullptr && aNow >= m_nextHealthCheck) {
-    m_isCheckingHealth = true;
-    m_nextHealthCheck = aNow + kHealthCheckInterval;
-    aActions.emplace_back(CheckHealth{ service->m_healthPath });
+  if (Server().m_state == ServerState::Absent && aNow >= m_nextHealthCheck) {
+    RequestHealthCheck(aNow, aActions);
   }
 }
 
@@ -285,9 +230,16 @@
 RelayGateFlow::NextWakeup() const
 {
   std::optional<Instant> due = m_queue.NextWakeup();
-  if (FindServiceToCheck() != nullptr) {
+  if (Server().m_state == ServerState::Absent &&
+      FindServiceToCheck() != nullptr) {
     due = std::min(due.value_or(Instant::max()), m_nextHealthCheck);
   }
+  if (const auto decideBy = m_crashDetector.DecideBy()) {
+    due = std::min(due.value_or(Instant::max()), *decideBy);
+  }
+  if (const auto suspectsDue = NextSuspectTime()) {
+    due = std::min(due.value_or(Instant::max()), *suspectsDue);
+  }
   return due;
 }
 
@@ -301,13 +253,22 @@
            : 0;
 }
 
-/* Returns the configured service of the host if its server is absent and no
-   health check is in progress; null otherwise. */
+void
+RelayGateFlow::RequestHealthCheck(Instant aNow, RelayActions& aActions)
+{
+  if (const RoutedService* service = FindServiceToCheck()) {
+    m_isCheckingHealth = true;
+    m_nextHealthCheck = aNow + kHealthCheckInterval;
+    aActions.emplace_back(CheckHealth{ service->m_healthPath });
+  }
+}
+
+/* Returns the configured service of the host if its server may be checked;
+   null if it is unknown, or a health check is in progress. */
 const RoutedService*
 RelayGateFlow::FindServiceToCheck() const
 {
-  if (Server().m_state != ServerState::Absent || m_isCheckingHealth ||
-      m_shared.m_isLeaving) {
+  if (m_isCheckingHealth || m_shared.m_isLeaving) {
     return nullptr;
   }
   const auto& services =
@@ -323,6 +284,14 @@
          Server().m_slots > 0;
 }
 
+/* Why a gate that is not open refuses requests. */
+Reason
+RelayGateFlow::ClosedReason() const
+{
+  return Server().m_state == ServerState::Absent ? Reason::NoServer
+                                                 : Reason::Leaving;
+}
+
 void
 RelayGateFlow::ApplyDecisions(GateDecisions& aDecisions,
                               Instant aNow,
@@ -341,7 +310,15 @@
 void
 RelayGateFlow::Dispatch(CallId aCall, Instant aNow, RelayActions& aActions)
 {
+  if (!PassSuspectCheck(aCall, aNow, aActions)) {
+    GateDecisions decisions;
+    m_queue.Finish(aCall, aNow, decisions);
+    ApplyDecisions(decisions, aNow, aActions);
+    return;
+  }
   Call& call = m_calls.at(aCall);
+  m_crashDetector.Begin(
+    { aCall, call.m_header.m_content.value_or(RequestKey()) }, aNow);
   call.m_dispatched = aNow;
   call.m_server = m_announcements.Start();
   ++m_conditionDispatches;
@@ -367,7 +344,11 @@
   aReport.m_server = MakeServerReport();
   aReport.m_isCalledRoute = m_origins.IsChildCallRoute(
     call->second.m_header.m_route, m_shared.m_hostCounts);
-  m_calls.erase(call);
+  if (call->second.m_header.m_content) {
+    aReport.m_suspect =
+      m_shared.m_suspects.Find(*call->second.m_header.m_content, aNow);
+  }
+  Erase(aCall);
   aActions.emplace_back(AnswerPeer{ aCall, aReport });
 }
 
@@ -378,6 +359,7 @@
                               RelayActions& aActions)
 {
   if (!MayBeSame(m_conditionServer, m_announcements.Start())) {
+    m_crashDetector.OnUnreachable();
     m_hasServerAnswered = false;
     if (m_condition != ServerCondition()) {
       SetCondition({}, "start", aNow, aActions);
@@ -405,10 +387,8 @@
   m_consecutiveUnreachable = 0;
   m_queue.SetLimit(IsOpen() ? Limit() : 0, aNow, decisions);
   if (!IsOpen()) {
-    m_queue.RefuseWaiting(Server().m_state == ServerState::Absent
-                            ? Reason::NoServer
-                            : Reason::Leaving,
-                          decisions);
+    m_queue.RefuseWaiting(ClosedReason(), decisions);
+    RefuseWaitingSuspects(aNow, aActions);
   }
   ApplyDecisions(decisions, aNow, aActions);
 }
--- a/modules/cr_relay/flow/cr_RelayGateFlow.h
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <optional>
+#include <span>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "cr_relay/event/cr_RelayAction.h"
 #include "cr_relay/flow/cr_RelayShared.h"
@@ -14,8 +17,10 @@
 
     Every request that arrives ends with exactly one AnswerPeer, unless its
     caller disconnects first. "Not run" is reported only for requests that were
-    not dispatched, or that the server itself reports as not run. Not thread
-    safe. */
+    not dispatched, or that the server itself reports as not run.
+
+    Requests during which servers crashed run one after the other or are
+    refused. @see SuspectTable. Not thread safe. */
 class RelayGateFlow
 {
 public:
@@ -34,7 +39,8 @@
               Instant aNow,
               RelayActions& aActions);
 
-  /** Handles the end of a dispatched request. */
+  /** Handles the end of a dispatched request. If its connection broke, it is
+      answered when it is known whether the server crashed. */
   void Handle(const DispatchEnded& aEvent,
               Instant aNow,
               RelayActions& aActions);
@@ -87,15 +93,46 @@
     /* The server to which the request was dispatched. */
     ServerStart m_server;
     bool m_isCallerDisconnected = false;
+    /* The request is a suspect and passes through the suspect queue. */
+    bool m_isSuspect = false;
+    /* Until then it waits in the suspect queue. */
+    Instant m_suspectUntil;
   };
 
   const RoutedService* FindServiceToCheck() const;
+  void RequestHealthCheck(Instant aNow, RelayActions& aActions);
   bool IsOpen() const;
   double SlotLoad(Instant aNow) const;
   void ApplyDecisions(GateDecisions& aDecisions,
                       Instant aNow,
                       RelayActions& aActions);
   void Dispatch(CallId aCall, Instant aNow, RelayActions& aActions);
+  void Enqueue(CallId aCall, Instant aNow, RelayActions& aActions);
+  void Offer(CallId aCall, Instant aNow, RelayActions& aActions);
+  bool PassSuspectCheck(CallId aCall, Instant aNow, RelayActions& aActions);
+  void RunNextSuspect(Instant aNow, RelayActions& aActions);
+  void RefuseLateSuspects(Instant aNow, RelayActions& aActions);
+  void RefuseWaitingSuspects(Instant aNow, RelayActions& aActions);
+  void OnConnectionBroken(const DispatchEnded& aEvent,
+                          Instant aNow,
+                          RelayActions& aActions);
+  void DecideCrash(Instant aNow, RelayActions& aActions);
+  void RecordCrash(std::span<const CrashDetector::Run> aBroken,
+                   Instant aNow,
+                   RelayActions& aActions);
+  std::vector<RequestKey> SelectBlamed(
+    std::span<const CrashDetector::Run> aBroken,
+    Instant aNow) const;
+  void OnEnded(const DispatchEnded& aEvent,
+               Instant aNow,
+               RelayActions& aActions);
+  void OnSurvived(const Call& aCall, Instant aNow, RelayActions& aActions);
+  std::optional<Instant> NextSuspectTime() const;
+  Reason ClosedReason() const;
+  void ReportToService(std::span<const RequestKey> aRequests,
+                       Instant aNow,
+                       RelayActions& aActions) const;
+  void Erase(CallId aCall);
   void Answer(CallId aCall,
               RelayReport aReport,
               Instant aNow,
@@ -141,6 +178,12 @@
   std::unordered_map<CallId, Call> m_calls;
   /* Number of consecutive dispatches that reached no server. */
   int m_consecutiveUnreachable = 0;
+  SuspectQueue m_suspectQueue;
+  /* The suspect that runs next. */
+  std::optional<CallId> m_nextSuspect;
+  CrashDetector m_crashDetector;
+  /* The server whose connections broke. */
+  ServerStart m_brokenServer;
   bool m_isCheckingHealth = false;
   Instant m_nextHealthCheck = Instant::min();
 };
--- a/modules/cr_relay/flow/cr_RelayShared.h
+++ b/modules/cr_relay/flow/cr_RelayShared.h
@@ -25,6 +25,7 @@
 {
   explicit RelayShared(RelaySettings aSettings)
     : m_settings(std::move(aSettings))
+    , m_suspects(Hash(m_settings.m_host, m_settings.m_seed))
   {
   }
 
@@ -49,6 +50,8 @@
   std::map<HostName, ServerReport> m_serverReports;
   /** Hosts to which the latest connection attempt failed. */
   std::map<HostName, UnreachableHost> m_unreachableHosts;
+  /** Requests during which backend servers of any service crashed. */
+  SuspectTable m_suspects;
   /** The node is shutting down. */
   bool m_isLeaving = false;
 };
--- a/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
@@ -122,6 +122,34 @@
   EXPECT_EQ(node.TakeActions<RelayAnswer>().size(), 1U);
 }
 
+TEST(RelayEntryFlow, RefusedSuspectIsNotOfferedToAnotherHost)
+{
+  Entry node;
+  const CallId call = node.Request("/status/9");
+  node.TakeForwardHost();
+  RelayReport report = NotRunReport(Reason::Suspect);
+  report.m_suspect = Suspect{ {}, 2, Seconds(120), 0 };
+  node.Answer(call, report);
+  EXPECT_TRUE(node.TakeActions<ForwardRequest>().empty());
+  const auto refusals = node.TakeActions<RefuseRequest>();
+  ASSERT_EQ(refusals.size(), 1U);
+  EXPECT_EQ(refusals[0].m_status, kUnavailable);
+  EXPECT_GE(refusals[0].m_retryAfter, Seconds(30));
+}
+
+/* A request that has run must not get a status that promises it has not. */
+TEST(RelayEntryFlow, RequestThatCrashedTwoServersGetsNoPromise)
+{
+  Entry node;
+  const CallId call = node.Request("/status/9");
+  node.TakeForwardHost();
+  RelayReport report = ReportOf(DispatchResult::Broken);
+  report.m_suspect = Suspect{ {}, 2, Seconds(120), 0 };
+  node.Answer(call, report);
+  EXPECT_TRUE(node.TakeActions<ForwardRequest>().empty());
+  EXPECT_EQ(node.TakeRefusalStatus(), kBadGateway);
+}
+
 TEST(RelayEntryFlow, CustomerRequestIsNotRetriedAfterAFullGate)
 {
   Entry node;
--- a/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
@@ -23,6 +23,13 @@
     EXPECT_EQ(answers.size(), 1U);
     return answers.empty() ? RelayReport{} : answers.front().m_report;
   }
+
+  /** Lets the time pass until broken connections have been judged. */
+  void AwaitCrashVerdict()
+  {
+    m_now += CrashDetector::kDecisionTime;
+    Feed(RelayTimerDue{});
+  }
 };
 
 TEST(RelayGateFlow, DispatchesUpToTheUsableSlotsAndQueuesTheRest)
@@ -75,12 +82,97 @@
   for (const auto& [result, outcome, hasReached] : cases) {
     Gate node(10);
     node.Feed(DispatchEnded{ node.PeerRequest(false), result });
+    if (result == DispatchResult::Broken) {
+      EXPECT_TRUE(node.TakeActions<AnswerPeer>().empty());
+      node.AwaitCrashVerdict();
+    }
     const RelayReport report = node.TakeReport();
     EXPECT_EQ(report.m_outcome, outcome) << ToText(result);
     EXPECT_EQ(report.m_hasReachedServer, hasReached) << ToText(result);
   }
 }
 
+/* The requests of a gate test differ in their content. */
+TEST(RelayGateFlow, RequestsOfACrashedServerAreReportedAndCloseTheGate)
+{
+  Gate node(10);
+  node.AdoptNodes("orders", { "host-1", "host-2", "host-3" });
+  const CallId first = node.PeerRequest(true);
+  const CallId second = node.PeerRequest(true);
+  node.TakeActions<DispatchRequest>();
+  node.Feed(DispatchEnded{ first, DispatchResult::Broken });
+  EXPECT_EQ(node.TakeActions<CheckHealth>().size(), 1U);
+  node.Feed(
+    DispatchEnded{ second, DispatchResult::Broken, std::nullopt, true });
+  const auto answers = node.TakeActions<AnswerPeer>();
+  ASSERT_EQ(answers.size(), 2U);
+  EXPECT_EQ(answers[0].m_report.m_outcome, Outcome::Unknown);
+  ASSERT_TRUE(answers[0].m_report.m_suspect);
+  EXPECT_EQ(answers[0].m_report.m_suspect->m_crashes, 1U);
+  const auto reports = node.TakeActions<ReportSuspects>();
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].m_peers.size(), 2U);
+  EXPECT_EQ(reports[0].m_suspects.size(), 2U);
+  node.PeerRequest(true);
+  EXPECT_EQ(node.TakeReport().m_reason, Reason::NoServer);
+}
+
+TEST(RelayGateFlow, SuspectsRunOneAfterTheOther)
+{
+  Gate node(10);
+  std::vector<Suspect> suspects;
+  for (std::uint64_t key = 1; key <= 3; ++key) {
+    suspects.push_back({ { 9, key }, 1, Seconds(60), 0 });
+  }
+  node.Feed(SuspectsReported{ suspects });
+  std::vector<CallId> calls;
+  for (std::uint64_t key = 1; key <= 3; ++key) {
+    calls.push_back(node.PeerRequest(true, Seconds(1), RequestKey{ 9, key }));
+  }
+  node.PeerRequest(true);
+  EXPECT_EQ(node.TakeActions<DispatchRequest>().size(), 2U);
+  node.Feed(DispatchEnded{ calls[0], DispatchResult::Answered });
+  EXPECT_EQ(node.TakeReport().m_suspect->m_cleared, 1U);
+  EXPECT_EQ(node.TakeActions<DispatchRequest>().size(), 1U);
+  node.Feed(RelayCallerDisconnected{ calls[1] });
+  node.Feed(DispatchEnded{ calls[1], DispatchResult::TimedOut });
+  EXPECT_EQ(node.TakeActions<DispatchRequest>().size(), 1U);
+  node.PeerRequest(true, Seconds(1), RequestKey{ 9, 1 });
+  EXPECT_EQ(node.TakeActions<DispatchRequest>().size(), 1U);
+}
+
+TEST(RelayGateFlow, SuspectThatWaitsTooLongIsRefused)
+{
+  Gate node(10);
+  node.Feed(SuspectsReported{
+    { { { 9, 1 }, 1, Seconds(60), 0 }, { { 9, 2 }, 1, Seconds(60), 0 } } });
+  node.PeerRequest(true, Seconds(1), RequestKey{ 9, 1 });
+  node.PeerRequest(true, Seconds(1), RequestKey{ 9, 2 });
+  EXPECT_EQ(node.m_decisions.NextWakeup() <= node.m_now + Seconds(3), true);
+  node.m_now += Milliseconds(2500);
+  node.Feed(RelayTimerDue{});
+  const RelayReport report = node.TakeReport();
+  EXPECT_EQ(report.m_outcome, Outcome::NotRun);
+  EXPECT_EQ(report.m_reason, Reason::Overloaded);
+}
+
+/* A request that waits for a slot is refused if it is found guilty
+   meanwhile. */
+TEST(RelayGateFlow, WaitingRequestIsNotDispatchedAfterItsSecondCrash)
+{
+  Gate node(1);
+  const CallId running = node.PeerRequest(true);
+  node.PeerRequest(true, Seconds(2), RequestKey{ 9, 1 });
+  node.TakeActions<DispatchRequest>();
+  node.Feed(SuspectsReported{ { { { 9, 1 }, 2, Seconds(120), 0 } } });
+  node.Feed(DispatchEnded{ running, DispatchResult::Answered });
+  EXPECT_TRUE(node.TakeActions<DispatchRequest>().empty());
+  const auto answers = node.TakeActions<AnswerPeer>();
+  ASSERT_EQ(answers.size(), 2U);
+  EXPECT_EQ(answers[1].m_report.m_reason, Reason::Suspect);
+  EXPECT_EQ(answers[1].m_report.m_outcome, Outcome::NotRun);
+}
+
 TEST(RelayGateFlow, DisconnectedCallerCancelsOnlyIdempotentRequests)
 {
   Gate node(1);
@@ -165,9 +257,10 @@
     std::vector<CallId> callerRequests;
     std::vector<CallId> calls;
     for (int count = 0; count < 5; ++count) {
-      leafRequests.push_back(node.PeerRequest(true, Seconds(1), "route-cheap"));
+      leafRequests.push_back(
+        node.PeerRequest(true, Seconds(1), std::nullopt, "route-cheap"));
       callerRequests.push_back(
-        node.PeerRequest(true, Seconds(1), "route-dear"));
+        node.PeerRequest(true, Seconds(1), std::nullopt, "route-dear"));
       calls.push_back(node.Request("/prices/1"));
     }
     node.m_now += Milliseconds(50);
@@ -375,7 +468,7 @@
   };
   for (int step = 0; step < steps; ++step) {
     node.m_now += Milliseconds(*rc::gen::inRange(0, 300));
-    switch (*rc::gen::inRange(0, 8)) {
+    switch (*rc::gen::inRange(0, 9)) {
       case 0:
       case 1:
         if (!atServer.empty()) {
@@ -406,6 +499,12 @@
       case 4:
         node.Feed(HealthChecked{ true, "server-1", 3 });
         break;
+      case 5: {
+        HealthChecked check;
+        check.m_isUnreachable = true;
+        node.Feed(check);
+        break;
+      }
       default: {
         // The answer may be emitted while the request is handled.
         RelayHeader header;
@@ -413,6 +512,7 @@
         header.m_route = "route-orders";
         header.m_remaining = Seconds(5);
         header.m_maxWait = Milliseconds(200);
+        header.m_content = RequestKey{ 1, *rc::gen::inRange(0U, 4U) };
         const CallId call{ 1000U + static_cast<std::uint64_t>(step) };
         open.insert(call);
         node.Feed(PeerRequestArrived{ call, header, "front" });
@@ -428,6 +528,8 @@
     node.Feed(DispatchEnded{ call, DispatchResult::Answered });
     checkActions();
   }
+  node.AwaitCrashVerdict();
+  checkActions();
   RC_ASSERT(open.empty());
 }
 
--- a/modules/cr_relay/tests/cr_RelayTestMesh.cpp
+++ b/modules/cr_relay/tests/cr_RelayTestMesh.cpp
@@ -209,18 +209,27 @@
     ++m_servedByTarget[m_targets[served->m_call]];
   } else if (std::holds_alternative<RefuseRequest>(aAction)) {
     ++m_refused;
-  } else if (std::holds_alternative<FetchPeerRoutes>(aAction)) {
-    After(kHop, [this, aHost] { Feed(aHost, PeerRoutesFetched{ true }); });
+  } else if (const auto* fetch = std::get_if<FetchPeerRoutes>(&aAction)) {
+    ExecuteFetch(aHost, *fetch);
+  } else if (const auto* report = std::get_if<ReportSuspects>(&aAction)) {
+    for (const Endpoint& peer : report->m_peers) {
+      After(kHop, [this, peer, suspects = report->m_suspects] {
+        Feed(FindHost(peer), SuspectsReported{ suspects });
+      });
+    }
   } else if (std::holds_alternative<CheckHealth>(aAction)) {
     After(kHop, [this, aHost] {
       const Host& host = m_hosts[aHost];
       if (host.m_isServerDown) {
-        Feed(aHost, HealthChecked{});
+        HealthChecked refused;
+        refused.m_isUnreachable = true;
+        Feed(aHost, refused);
         return;
       }
       const bool isHealthy =
         !host.m_condition.m_isLeaving || host.m_hasFalseHealth;
-      Feed(aHost, HealthChecked{ isHealthy, host.m_server, kSlots });
+      Feed(aHost,
+           HealthChecked{ isHealthy, host.m_server, kSlots, host.m_condition });
     });
   }
 }
@@ -228,11 +237,7 @@
 void
 RelayTestMesh::ExecuteForward(std::size_t aHost, const ForwardRequest& aForward)
 {
-  const auto target =
-    std::find_if(m_hosts.begin(), m_hosts.end(), [&](const Host& aOther) {
-      return aOther.m_name == aForward.m_peer.m_address;
-    });
-  const auto index = static_cast<std::size_t>(target - m_hosts.begin());
+  const std::size_t index = FindHost(aForward.m_peer);
   const Forward forward{ aHost, m_hosts[aHost].m_starts, aForward.m_call };
   After(kHop, [this, index, forward, header = aForward.m_header] {
     if (m_hosts[index].m_isDown) {
@@ -245,6 +250,32 @@
   });
 }
 
+/* Fetches no routes, as all nodes have the same, but exchanges suspects. */
+void
+RelayTestMesh::ExecuteFetch(std::size_t aHost, const FetchPeerRoutes& aFetch)
+{
+  After(kHop, [this, aHost, aFetch] {
+    const std::size_t peer = FindHost(aFetch.m_peer);
+    PeerRoutesFetched event;
+    event.m_isAnswered = !m_hosts[peer].m_isDown;
+    if (event.m_isAnswered) {
+      event.m_suspects = m_hosts[peer].m_decisions->Suspects(m_now);
+      Feed(peer, SuspectsReported{ aFetch.m_suspects });
+    }
+    Feed(aHost, event);
+  });
+}
+
+std::size_t
+RelayTestMesh::FindHost(const Endpoint& aPeer) const
+{
+  const auto host =
+    std::find_if(m_hosts.begin(), m_hosts.end(), [&](const Host& aOther) {
+      return aOther.m_name == aPeer.m_address;
+    });
+  return static_cast<std::size_t>(host - m_hosts.begin());
+}
+
 void
 RelayTestMesh::ExecuteDispatch(std::size_t aHost,
                                const DispatchRequest& aDispatch)
--- a/modules/cr_relay/tests/cr_RelayTestMesh.h
+++ b/modules/cr_relay/tests/cr_RelayTestMesh.h
@@ -114,6 +114,8 @@
   void ExecuteForward(std::size_t aHost, const ForwardRequest& aForward);
   void ExecuteDispatch(std::size_t aHost, const DispatchRequest& aDispatch);
   void ExecuteStoreCall(std::size_t aHost, const RelayCallStore& aCall);
+  void ExecuteFetch(std::size_t aHost, const FetchPeerRoutes& aFetch);
+  std::size_t FindHost(const Endpoint& aPeer) const;
   void AnswerWatches();
   std::string TargetOf(CallId aCall) const;
 
--- a/modules/cr_relay/tests/cr_RelayTestNode.h
+++ b/modules/cr_relay/tests/cr_RelayTestNode.h
@@ -123,13 +123,16 @@
     return call;
   }
 
+  /** A request with a content of its own, if none is given. */
   CallId PeerRequest(bool aIsIdempotent,
                      Duration aMaxWait = Seconds(1),
+                     std::optional<RequestKey> aContent = std::nullopt,
                      const std::string& aRoute = "route-orders")
   {
     const CallId call{ ++m_calls };
     RelayHeader header;
     header.m_service = "orders";
+    header.m_content = aContent.value_or(RequestKey{ 7, m_calls });
     header.m_route = aRoute;
     header.m_remaining = Seconds(5);
     header.m_maxWait = aMaxWait;
--- a/modules/cr_relay_server/protocol/cr_RelayCodec.cpp
+++ b/modules/cr_relay_server/protocol/cr_RelayCodec.cpp
@@ -1,5 +1,7 @@
 #include "cr_relay_server/protocol/cr_RelayCodec.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 #include <cmath>
 #include <concepts>
@@ -78,6 +80,14 @@
     aLoad = static_cast<double>(thousandths) / kLoadScale;
   }
 
+  template<typename Kind>
+  void ReadOptional(const std::optional<Kind>& aRead,
+                    std::optional<Kind>& aKind)
+  {
+    m_isWellFormed &= aRead.has_value();
+    aKind = aRead;
+  }
+
   template<typename Kind>
   void Read(const std::optional<Kind>& aRead, Kind& aKind)
   {
@@ -99,6 +109,42 @@
   bool m_isWellFormed = true;
 };
 
+std::string
+EncodeSuspect(const Suspect& aSuspect)
+{
+  return fmt::format("{}.{}.{}.{}",
+                     ToText(aSuspect.m_key),
+                     aSuspect.m_crashes,
+                     aSuspect.m_cleared,
+                     ToMilliseconds(aSuspect.m_remaining));
+}
+
+std::optional<Suspect>
+DecodeSuspect(std::string_view aText)
+{
+  std::array<std::string_view, 4> parts;
+  for (std::string_view& part : parts) {
+    const std::size_t end = std::min(aText.find('.'), aText.size());
+    part = aText.substr(0, end);
+    aText.remove_prefix(std::min(end + 1, aText.size()));
+  }
+  const auto key = ParseIdentifier<RequestKeyTag>(parts[0]);
+  const auto crashes = ParseNumber<std::uint32_t>(parts[1]);
+  const auto cleared = ParseNumber<std::uint32_t>(parts[2]);
+  const auto remaining = ParseNumber<std::uint32_t>(parts[3]);
+  if (!key || !crashes || !cleared || !remaining || !aText.empty()) {
+    return std::nullopt;
+  }
+  return Suspect{ *key, *crashes, Milliseconds(*remaining), *cleared };
+}
+
+/* Returns the parameter with the suspect, or nothing. */
+std::string
+EncodeSuspectParameter(const std::optional<Suspect>& aSuspect)
+{
+  return aSuspect ? fmt::format(";x={}", EncodeSuspect(*aSuspect)) : "";
+}
+
 std::string
 EncodeServerReport(const std::optional<ServerReport>& aReport)
 {
@@ -168,11 +214,37 @@
   return condition;
 }
 
+std::string
+EncodeSuspects(std::span<const Suspect> aSuspects)
+{
+  std::string text;
+  for (const Suspect& suspect : aSuspects) {
+    text += (text.empty() ? "" : ",") + EncodeSuspect(suspect);
+  }
+  return text;
+}
+
+Expected<std::vector<Suspect>>
+DecodeSuspects(std::string_view aText)
+{
+  std::vector<Suspect> suspects;
+  while (!aText.empty()) {
+    const std::size_t end = std::min(aText.find(','), aText.size());
+    const auto suspect = DecodeSuspect(aText.substr(0, end));
+    if (!suspect || suspects.size() >= SuspectTable::kEntryLimit) {
+      return Failure(ErrorCode::Malformed, "no list of suspects");
+    }
+    suspects.push_back(*suspect);
+    aText.remove_prefix(std::min(end + 1, aText.size()));
+  }
+  return suspects;
+}
+
 std::string
 EncodeRelayHeader(const RelayHeader& aHeader)
 {
   return fmt::format(
-    ";s={};r={};t={};w={};u={};b={:d};i={:d};g={}{}{}",
+    ";s={};r={};t={};w={};u={};b={:d};i={:d};g={}{}{}{}",
     QuoteJson(aHeader.m_service),
     QuoteJson(aHeader.m_route),
     aHeader.m_remaining.count(),
@@ -182,6 +254,7 @@
     aHeader.m_isIdempotent,
     aHeader.m_generation,
     aHeader.m_content ? fmt::format(";k={}", ToText(*aHeader.m_content)) : "",
+    EncodeSuspectParameter(aHeader.m_suspect),
     EncodeServerReport(aHeader.m_knownServer));
 }
 
@@ -209,8 +282,10 @@
     } else if (aName == "g") {
       reader.Read(aValue, header.m_generation);
     } else if (aName == "k") {
-      reader.Read(ParseIdentifier<ContentTag>(aValue),
-                  header.m_content.emplace());
+      reader.ReadOptional(ParseIdentifier<RequestKeyTag>(aValue),
+                          header.m_content);
+    } else if (aName == "x") {
+      reader.ReadOptional(DecodeSuspect(aValue), header.m_suspect);
     }
   });
   if (!reader.IsComplete(parameters)) {
@@ -227,7 +302,7 @@
 std::string
 EncodeRelayReport(const RelayReport& aReport)
 {
-  return fmt::format(";o={};y={};e={:d};h={:d};c={:d};l={};p={};g={}{}",
+  return fmt::format(";o={};y={};e={:d};h={:d};c={:d};l={};p={};g={}{}{}",
                      ToText(aReport.m_outcome),
                      ToText(aReport.m_reason),
                      aReport.m_isServerError,
@@ -236,6 +311,7 @@
                      ToThousandths(aReport.m_gateLoad),
                      ToThousandths(aReport.m_pathLoad),
                      aReport.m_generation,
+                     EncodeSuspectParameter(aReport.m_suspect),
                      EncodeServerReport(aReport.m_server));
 }
 
@@ -262,6 +338,8 @@
       reader.Read(aValue, report.m_pathLoad);
     } else if (aName == "g") {
       reader.Read(aValue, report.m_generation);
+    } else if (aName == "x") {
+      reader.ReadOptional(DecodeSuspect(aValue), report.m_suspect);
     }
   });
   if (!reader.IsComplete(parameters)) {
--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -305,18 +305,42 @@
   ProcessEvent(std::move(event));
 }
 
+/* Answers a node that asks for newer routes, and exchanges suspects with it. */
+void
+RelayServer::Implementation::SendRoutes(const HttpRequest& aRequest,
+                                        const HttpResponder& aResponder)
+{
+  const auto known = ParseNumber<Generation>(
+    FindHeader(aRequest.m_headers, kNewerThanHeaderName));
+  HttpResponse response =
+    m_documentGeneration > known.value_or(0)
+      ? MakeTextResponse(kHttpOk, m_document, "application/json")
+      : MakeTextResponse(kHttpNotFound, "no newer routes\n");
+  const std::vector<Suspect> suspects = m_decisions.Suspects(IoThreads::Now());
+  if (!suspects.empty()) {
+    response.m_headers.push_back(
+      { std::string(kSuspectsHeaderName), EncodeSuspects(suspects) });
+  }
+  const std::string_view reported =
+    FindHeader(aRequest.m_headers, kSuspectsHeaderName);
+  if (!reported.empty()) {
+    ProcessEvent(SuspectsReported{ ReadSuspects(reported) });
+  }
+  aResponder.Send(std::move(response));
+}
+
 void
 RelayServer::Implementation::HandlePeer(HttpRequest&& aRequest,
                                         const HttpResponder& aResponder)
 {
   const auto text = FindHeader(aRequest.m_headers, kRelayHeaderName);
   if (text.empty() && aRequest.m_target == kRoutesPath) {
-    const auto known = ParseNumber<Generation>(
-      FindHeader(aRequest.m_headers, kNewerThanHeaderName));
-    aResponder.Send(
-      m_documentGeneration > known.value_or(0)
-        ? MakeTextResponse(kHttpOk, m_document, "application/json")
-        : MakeTextResponse(kHttpNotFound, "no newer routes\n"));
+    SendRoutes(aRequest, aResponder);
+    return;
+  }
+  if (text.empty() && aRequest.m_target == kSuspectsPath) {
+    ProcessEvent(SuspectsReported{ ReadSuspects(aRequest.m_body) });
+    aResponder.Send(MakeTextResponse(kHttpOk, ""));
     return;
   }
   if (DropIfCallerLeft(aRequest, aResponder, kPeerIngress)) {
@@ -500,6 +524,9 @@
 RelayServer::Implementation::OnHealthChecked(const HttpResult& aResult)
 {
   HealthChecked event;
+  if (const auto* failure = std::get_if<HttpFailure>(&aResult)) {
+    event.m_isUnreachable = failure->m_unreachable;
+  }
   if (const auto* response = std::get_if<HttpResponse>(&aResult)) {
     event.m_isHealthy = response->m_status == kHttpOk;
     event.m_condition = ReadCondition(aResult);
--- a/modules/cr_relay_server/server/cr_RelayShell.h
+++ b/modules/cr_relay_server/server/cr_RelayShell.h
@@ -55,6 +55,7 @@
   void HandlePeer(HttpRequest&& aRequest, const HttpResponder& aResponder);
   void HandleControl(HttpRequest&& aRequest, const HttpResponder& aResponder);
   void HandleOperator(HttpRequest&& aRequest, const HttpResponder& aResponder);
+  void SendRoutes(const HttpRequest& aRequest, const HttpResponder& aResponder);
   bool DropIfCallerLeft(const HttpRequest& aRequest,
                         const HttpResponder& aResponder,
                         std::string_view aIngress);
@@ -79,8 +80,10 @@
   void Execute(const RelayCallStore& aAction);
   void Execute(const ReadRoutes& aAction);
   void Execute(const FetchPeerRoutes& aAction);
+  void Execute(const ReportSuspects& aAction);
   void Execute(const LogDecision& aAction);
 
+  std::vector<Suspect> ReadSuspects(std::string_view aText);
   void OnForwardCompleted(CallId aCall, HttpResult&& aResult);
   void OnDispatchCompleted(CallId aCall, HttpResult&& aResult);
   std::optional<ServerCondition> ReadCondition(const HttpResult& aResult);
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -196,11 +196,14 @@
 {
   PendingCall* pending = FindPendingCall(aCall);
   const std::optional<ServerCondition> condition = ReadCondition(aResult);
+  const auto* failure = std::get_if<HttpFailure>(&aResult);
+  const bool isServerGone =
+    failure != nullptr && failure->m_sent && failure->m_unreachable;
   const DispatchResult result = ClassifyResult(pending, std::move(aResult));
   if (pending != nullptr) {
     m_metrics.CountDispatch(result, IoThreads::Now() - pending->m_dispatchedAt);
   }
-  ProcessEvent(DispatchEnded{ aCall, result, condition });
+  ProcessEvent(DispatchEnded{ aCall, result, condition, isServerGone });
 }
 
 /* Returns nothing without a well-formed answer. */
@@ -415,6 +418,10 @@
   request.m_target = kRoutesPath;
   request.m_headers.push_back(
     { std::string(kNewerThanHeaderName), std::to_string(aAction.m_newerThan) });
+  if (!aAction.m_suspects.empty()) {
+    request.m_headers.push_back(
+      { std::string(kSuspectsHeaderName), EncodeSuspects(aAction.m_suspects) });
+  }
   m_peerClient.Send(
     aAction.m_peer,
     std::move(request),
@@ -428,10 +435,54 @@
       if (response != nullptr && response->m_status == kHttpOk) {
         self->LoadRoutes(response->m_body, "node");
       }
-      self->ProcessEvent(PeerRoutesFetched{ response != nullptr });
+      PeerRoutesFetched event;
+      event.m_isAnswered = response != nullptr;
+      if (response != nullptr) {
+        event.m_suspects = self->ReadSuspects(
+          FindHeader(response->m_headers, kSuspectsHeaderName));
+      }
+      self->ProcessEvent(std::move(event));
     });
 }
 
+void
+RelayServer::Implementation::Execute(const ReportSuspects& aAction)
+{
+  HttpRequest request;
+  request.m_method = "POST";
+  request.m_target = kSuspectsPath;
+  request.m_body = EncodeSuspects(aAction.m_suspects);
+  for (const Endpoint& peer : aAction.m_peers) {
+    m_peerClient.Send(
+      peer,
+      request,
+      kPeerRoutesTimeout,
+      [weak = weak_from_this(), peer](const HttpResult& aResult) {
+        const auto self = weak.lock();
+        const auto* response = std::get_if<HttpResponse>(&aResult);
+        // The other node will hear of the suspects when nodes exchange them.
+        if (self && (response == nullptr || response->m_status != kHttpOk)) {
+          self->m_log.Write("suspects-unreported",
+                            fmt::format("\"peer\":\"{}\"", ToText(peer)));
+        }
+      });
+  }
+}
+
+/* Returns the suspects in a message of another node; none if it is malformed.
+ */
+std::vector<Suspect>
+RelayServer::Implementation::ReadSuspects(std::string_view aText)
+{
+  auto suspects = DecodeSuspects(aText);
+  if (!suspects) {
+    m_log.Write("malformed",
+                fmt::format("\"why\":{}", QuoteJson(suspects.error().m_text)));
+    return {};
+  }
+  return std::move(*suspects);
+}
+
 void
 RelayServer::Implementation::Execute(const LogDecision& aAction)
 {
--- a/modules/cr_relay_server/tests/cr_RelayFleet.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.cpp
@@ -103,8 +103,32 @@
 {
   auto host = std::make_unique<Host>();
   host->m_address = "127.0.8." + std::to_string(m_hosts.size() + 1);
-  Host* self = host.get();
-  host->m_server = std::make_unique<HttpServer>(
+  StartServer(*host);
+  RelayServerSettings settings;
+  settings.m_relay.m_host = host->m_address;
+  settings.m_relay.m_incarnation = Incarnation{ 1 };
+  settings.m_relay.m_region = "region";
+  settings.m_relay.m_dataCentre = "centre";
+  settings.m_relay.m_peer = { host->m_address, kPeerPort };
+  settings.m_relay.m_service = aService;
+  settings.m_relay.m_routesRow = { "operator", "routes" };
+  settings.m_relay.m_seed = m_hosts.size();
+  settings.m_customers = { host->m_address, kCustomerPort };
+  settings.m_operators = { host->m_address, kOperatorPort };
+  settings.m_control = { host->m_address, kControlPort };
+  settings.m_server = { host->m_address, kServerPort };
+  settings.m_platform = m_platformAddress;
+  settings.m_shutdownLimit = kShutdownLimit;
+  host->m_settings = settings;
+  m_hosts.push_back(std::move(host));
+  StartNode(*m_hosts.back());
+}
+
+void
+RelayFleet::StartServer(Host& aHost)
+{
+  Host* self = &aHost;
+  aHost.m_server = std::make_unique<HttpServer>(
     m_threads, HttpLimits{}, [this, self](HttpRequest aRequest, auto aAnswer) {
       HttpResponse response;
       response.m_headers = {
@@ -125,6 +149,10 @@
         return;
       }
       ++self->m_requestsRun;
+      if (aRequest.m_target == m_crashingTarget) {
+        m_threads.After(Milliseconds(50), [this, self] { CrashServer(*self); });
+        return;
+      }
       response.m_body =
         aRequest.m_method + " " + aRequest.m_target + " " + aRequest.m_body +
         " from " +
@@ -132,25 +160,16 @@
       m_threads.After(self->m_responseDelay,
                       [aAnswer, response] { aAnswer.Send(response); });
     });
-  host->m_server->Listen({ host->m_address, kServerPort }).value();
-  RelayServerSettings settings;
-  settings.m_relay.m_host = host->m_address;
-  settings.m_relay.m_incarnation = Incarnation{ 1 };
-  settings.m_relay.m_region = "region";
-  settings.m_relay.m_dataCentre = "centre";
-  settings.m_relay.m_peer = { host->m_address, kPeerPort };
-  settings.m_relay.m_service = aService;
-  settings.m_relay.m_routesRow = { "operator", "routes" };
-  settings.m_relay.m_seed = m_hosts.size();
-  settings.m_customers = { host->m_address, kCustomerPort };
-  settings.m_operators = { host->m_address, kOperatorPort };
-  settings.m_control = { host->m_address, kControlPort };
-  settings.m_server = { host->m_address, kServerPort };
-  settings.m_platform = m_platformAddress;
-  settings.m_shutdownLimit = kShutdownLimit;
-  host->m_settings = settings;
-  m_hosts.push_back(std::move(host));
-  StartNode(*m_hosts.back());
+  aHost.m_server->Listen({ aHost.m_address, kServerPort }).value();
+}
+
+/* Closes all connections, and listens again a little later. */
+void
+RelayFleet::CrashServer(Host& aHost)
+{
+  ++m_crashes;
+  aHost.m_server->Close();
+  m_threads.After(Milliseconds(300), [this, &aHost] { StartServer(aHost); });
 }
 
 void
--- a/modules/cr_relay_server/tests/cr_RelayFleet.h
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.h
@@ -94,11 +94,18 @@
   static constexpr std::uint16_t kServerPort = 27404;
   static constexpr Duration kShutdownLimit = Seconds(4);
 
+  /** Requests with this target crash the server that runs them, which starts
+      again after 300 ms. Set while no request is in progress. */
+  std::string m_crashingTarget;
+  std::atomic<int> m_crashes{ 0 };
+
   IoThreads m_threads{ 2 };
   PlatformServer m_platform{ m_threads };
 
 private:
   void StartHost(const std::string& aService);
+  void StartServer(Host& aHost);
+  void CrashServer(Host& aHost);
   void StartNode(Host& aHost);
   RelayProtocolAdapter MakeAdapter() const;
 
--- a/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
@@ -19,7 +19,7 @@
   header.m_maxWait = Milliseconds(19);
   header.m_isChildCall = true;
   header.m_generation = 12;
-  header.m_content = ContentKey{ 7, 8 };
+  header.m_content = RequestKey{ 7, 8 };
   const auto readHeader = DecodeRelayHeader(EncodeRelayHeader(header));
   ASSERT_TRUE(readHeader);
   EXPECT_EQ(readHeader->m_service, header.m_service);
@@ -55,6 +55,36 @@
   }
 }
 
+TEST(RelayCodec, SuspectsRoundTrip)
+{
+  const std::vector<Suspect> suspects = {
+    { { 1, 2 }, 3, Seconds(59), 1 },
+    { { ~0ULL, 0 }, 4000000000, Milliseconds(1), 0 }
+  };
+  EXPECT_EQ(DecodeSuspects(EncodeSuspects(suspects)).value(), suspects);
+  EXPECT_TRUE(DecodeSuspects("").value().empty());
+  RelayHeader header;
+  header.m_suspect = suspects[0];
+  EXPECT_EQ(DecodeRelayHeader(EncodeRelayHeader(header))->m_suspect,
+            suspects[0]);
+  RelayReport report;
+  report.m_suspect = suspects[1];
+  EXPECT_EQ(DecodeRelayReport(EncodeRelayReport(report))->m_suspect,
+            suspects[1]);
+  const std::string key(32, 'a');
+  for (const std::string& text : { key,
+                                   key + ".1.2",
+                                   key + ".1.2.3.4",
+                                   key + ".1.2.-3",
+                                   key + ".1.2.3,,",
+                                   key + ".1.2.3," + key,
+                                   ".1.2.3" + key }) {
+    EXPECT_FALSE(DecodeSuspects(text)) << text;
+  }
+  // Optional parameters do not replace one that is missing.
+  EXPECT_FALSE(DecodeRelayHeader(";s=a;r=b;t=1;w=1;u=0;b=0;i=0;k=" + key));
+}
+
 TEST(RelayCodec, ServerReportsRoundTrip)
 {
   RelayHeader header;
@@ -314,6 +344,30 @@
   EXPECT_EQ(running.get(), kHttpBadGateway);
 }
 
+/* Incident BUDGET, with processes' own connections and two hosts. */
+TEST(RelayServer, RequestThatCrashesServersIsRefusedAtAnyNode)
+{
+  RelayFleet fleet({ "status", "status", "status" });
+  fleet.WriteRoutes(1, { "status" });
+  for (std::size_t host = 0; host < 3; ++host) {
+    ASSERT_EQ(fleet.SendUntil(host, "/status/7", kHttpOk), kHttpOk);
+  }
+  fleet.m_crashingTarget = "/status/bad";
+  for (int repeat = 0; repeat < 20; ++repeat) {
+    fleet.Send(static_cast<std::size_t>(repeat % 3), "/status/bad");
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  }
+  EXPECT_EQ(fleet.m_crashes, 2);
+  EXPECT_EQ(fleet.Send(0, "/status/bad").m_status, kHttpUnavailable);
+  EXPECT_EQ(fleet.SendUntil(1, "/status/8", kHttpOk), kHttpOk);
+  fleet.Restart(1);
+  EXPECT_EQ(fleet.SendUntil(1, "/status/8", kHttpOk), kHttpOk);
+  for (std::size_t host = 0; host < 3; ++host) {
+    EXPECT_EQ(fleet.Send(host, "/status/bad").m_status, kHttpUnavailable);
+  }
+  EXPECT_EQ(fleet.m_crashes, 2);
+}
+
 TEST(RelayServer, MalformedInputAtEachPortIsRejected)
 {
   RelayFleet fleet({ "status" });
--- a/modules/cr_suspects/content/cr_ContentKey.cpp
+++ b/modules/cr_suspects/key/cr_RequestKey.cpp
@@ -1,11 +1,18 @@
-#include "cr_suspects/content/cr_ContentKey.h"
+#include "cr_suspects/key/cr_RequestKey.h"
 
 namespace cr {
 
-ContentKey
+RequestKey
+MakeRequestKey(const RequestId& aRequest, const OperationName& aOperation)
+{
+  return { aRequest.m_high,
+           aRequest.m_low ^ Hash(ToText(aOperation), aRequest.m_high) };
+}
+
+RequestKey
 MakeContentKey(std::initializer_list<std::string_view> aParts)
 {
-  ContentKey key{ 1, 2 };
+  RequestKey key{ 1, 2 };
   for (const std::string_view part : aParts) {
     // The seed separates the parts: moving a byte to the next one changes it.
     key.m_high = Hash(part, key.m_high);
--- a/modules/cr_suspects/lane/cr_SuspectQueue.cpp
+++ b/modules/cr_suspects/lane/cr_SuspectQueue.cpp
@@ -5,7 +5,7 @@
 namespace cr {
 
 SuspectQueue::Placement
-SuspectQueue::Add(CallId aCall, const RequestId& aRequest)
+SuspectQueue::Add(CallId aCall, const RequestKey& aRequest)
 {
   if (m_running.empty() || m_running.front().m_request == aRequest) {
     m_running.push_back({ aCall, aRequest });
@@ -36,13 +36,20 @@
 
 std::vector<CallId>
 SuspectQueue::RemoveWaiting()
+{
+  std::vector<CallId> calls = Waiting();
+  m_waiting.clear();
+  return calls;
+}
+
+std::vector<CallId>
+SuspectQueue::Waiting() const
 {
   std::vector<CallId> calls;
   calls.reserve(m_waiting.size());
   for (const Entry& entry : m_waiting) {
     calls.push_back(entry.m_call);
   }
-  m_waiting.clear();
   return calls;
 }
 
--- a/modules/cr_suspects/lane/cr_SuspectQueue.h
+++ b/modules/cr_suspects/lane/cr_SuspectQueue.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "cr_core/cr_core.h"
+#include "cr_suspects/key/cr_RequestKey.h"
 
 namespace cr {
 
@@ -30,7 +31,7 @@
   //==========================================================================
   /** Adds a suspect. A call of the request that is already running, such as a
       child call, runs now. */
-  Placement Add(CallId aCall, const RequestId& aRequest);
+  Placement Add(CallId aCall, const RequestKey& aRequest);
 
   /** Removes a call that ended or was withdrawn. Returns the call to run next,
       if any. */
@@ -40,6 +41,9 @@
   std::vector<CallId> RemoveWaiting();
 
   //==========================================================================
+  /** Returns the waiting calls. */
+  std::vector<CallId> Waiting() const;
+
   /** Returns the running calls. */
   std::vector<CallId> Running() const;
 
@@ -50,7 +54,7 @@
   struct Entry
   {
     CallId m_call{};
-    RequestId m_request;
+    RequestKey m_request;
   };
 
   std::vector<Entry> m_running;
--- a/modules/cr_suspects/suspects/cr_SuspectTable.cpp
+++ b/modules/cr_suspects/suspects/cr_SuspectTable.cpp
@@ -9,34 +9,39 @@
 
 constexpr std::uint32_t kCrashesBeforeRefusal = 2;
 constexpr std::uint32_t kCrashesBeyondClearing = 3;
+/* The refusal time doubles at most this often, to about an hour. */
+constexpr std::uint32_t kMaxDoublings = 6;
+/* Part of the suspicion time over which tables spread the end of a refusal. */
+constexpr double kRefusalEndSpread = 0.5;
 
 }
 
-RequestId
-SuspectKey(const RequestId& aRequest, const OperationName& aOperation)
+SuspectTable::SuspectTable(std::uint64_t aSeed)
+  : m_seed(aSeed)
 {
-  return { aRequest.m_high,
-           aRequest.m_low ^ Hash(ToText(aOperation), aRequest.m_high) };
 }
 
 void
-SuspectTable::RecordCrash(std::span<const RequestId> aRunning, Instant aNow)
+SuspectTable::RecordCrash(std::span<const RequestKey> aRunning, Instant aNow)
 {
-  for (const RequestId& request : aRunning) {
+  for (const RequestKey& request : aRunning) {
     Entry& entry = FindOrAdd(request, aNow);
     ++entry.m_crashes;
-    entry.m_until = aNow + kSuspicionTime;
+    entry.m_until = aNow + Lifetime(entry);
   }
 }
 
-void
-SuspectTable::Clear(const RequestId& aRequest, Instant aNow)
+bool
+SuspectTable::Clear(const RequestKey& aRequest, Instant aNow)
 {
   const auto entry = m_entries.find(aRequest);
-  if (entry != m_entries.end()) {
-    entry->second.m_cleared = entry->second.m_crashes;
-    entry->second.m_until = aNow + kSuspicionTime;
+  if (entry == m_entries.end()) {
+    return false;
   }
+  const bool wasSuspected = entry->second.m_crashes > entry->second.m_cleared;
+  entry->second.m_cleared = entry->second.m_crashes;
+  entry->second.m_until = aNow + Lifetime(entry->second);
+  return wasSuspected;
 }
 
 void
@@ -46,11 +51,12 @@
     if (suspect.m_remaining <= Duration::zero()) {
       continue;
     }
-    Entry& entry = FindOrAdd(suspect.m_request, aNow);
+    Entry& entry = FindOrAdd(suspect.m_key, aNow);
     entry.m_crashes = std::max(entry.m_crashes, suspect.m_crashes);
-    entry.m_cleared = std::max(entry.m_cleared, suspect.m_cleared);
+    entry.m_cleared =
+      std::max(entry.m_cleared, std::min(suspect.m_cleared, entry.m_crashes));
     entry.m_until = std::max(
-      entry.m_until, aNow + std::min(suspect.m_remaining, kSuspicionTime));
+      entry.m_until, aNow + std::min(suspect.m_remaining, Lifetime(entry)));
   }
 }
 
@@ -63,28 +69,69 @@
 }
 
 bool
-SuspectTable::IsRefused(const RequestId& aRequest, Instant aNow) const
+SuspectTable::IsRefused(const RequestKey& aRequest, Instant aNow) const
+{
+  return RefusedFor(aRequest, aNow) > Duration::zero();
+}
+
+bool
+SuspectTable::HasRefused(Instant aNow) const
+{
+  return std::any_of(
+    m_entries.begin(), m_entries.end(), [&](const auto& aEntry) {
+      return IsRefused(aEntry.first, aNow);
+    });
+}
+
+Duration
+SuspectTable::RefusedFor(const RequestKey& aRequest, Instant aNow) const
 {
-  const Entry* entry = Find(aRequest, aNow);
-  return entry != nullptr &&
-         (entry->m_crashes >= kCrashesBeyondClearing ||
-          entry->m_crashes >= entry->m_cleared + kCrashesBeforeRefusal);
+  const Entry* entry = FindEntry(aRequest, aNow);
+  if (entry == nullptr || !HasCrashedTooOften(*entry)) {
+    return Duration::zero();
+  }
+  constexpr std::uint64_t steps = 1024;
+  const double share =
+    static_cast<double>(Hash(aRequest.m_low, m_seed) % steps) /
+    static_cast<double>(steps);
+  const Instant end = entry->m_until - kSuspicionTime +
+                      Scale(kSuspicionTime, kRefusalEndSpread * share);
+  return std::max(Duration::zero(), end - aNow);
 }
 
 bool
-SuspectTable::IsSuspected(const RequestId& aRequest, Instant aNow) const
+SuspectTable::IsSuspected(const RequestKey& aRequest, Instant aNow) const
 {
-  const Entry* entry = Find(aRequest, aNow);
+  const Entry* entry = FindEntry(aRequest, aNow);
   return entry != nullptr && entry->m_crashes > entry->m_cleared;
 }
 
+bool
+SuspectTable::IsCleared(const RequestKey& aRequest, Instant aNow) const
+{
+  const Entry* entry = FindEntry(aRequest, aNow);
+  return entry != nullptr && entry->m_crashes == entry->m_cleared;
+}
+
 std::uint32_t
-SuspectTable::Crashes(const RequestId& aRequest) const
+SuspectTable::Crashes(const RequestKey& aRequest) const
 {
   const auto entry = m_entries.find(aRequest);
   return entry == m_entries.end() ? 0 : entry->second.m_crashes;
 }
 
+std::optional<Suspect>
+SuspectTable::Find(const RequestKey& aRequest, Instant aNow) const
+{
+  const Entry* entry = FindEntry(aRequest, aNow);
+  if (entry == nullptr) {
+    return std::nullopt;
+  }
+  return Suspect{
+    aRequest, entry->m_crashes, entry->m_until - aNow, entry->m_cleared
+  };
+}
+
 std::vector<Suspect>
 SuspectTable::Recent(Instant aNow, std::size_t aLimit) const
 {
@@ -98,15 +145,34 @@
   std::sort(suspects.begin(),
             suspects.end(),
             [](const Suspect& aFirst, const Suspect& aSecond) {
-              return std::tie(aSecond.m_remaining, aFirst.m_request) <
-                     std::tie(aFirst.m_remaining, aSecond.m_request);
+              return std::tie(aSecond.m_remaining, aFirst.m_key) <
+                     std::tie(aFirst.m_remaining, aSecond.m_key);
             });
   suspects.resize(std::min(suspects.size(), aLimit));
   return suspects;
 }
 
+//==============================================================================
+bool
+SuspectTable::HasCrashedTooOften(const Entry& aEntry)
+{
+  return aEntry.m_crashes >= kCrashesBeyondClearing ||
+         aEntry.m_crashes >= aEntry.m_cleared + kCrashesBeforeRefusal;
+}
+
+Duration
+SuspectTable::Lifetime(const Entry& aEntry)
+{
+  if (!HasCrashedTooOften(aEntry)) {
+    return kSuspicionTime;
+  }
+  const std::uint32_t doublings =
+    std::min(aEntry.m_crashes - kCrashesBeforeRefusal, kMaxDoublings);
+  return kRefusalTime * (1U << doublings) + kSuspicionTime;
+}
+
 const SuspectTable::Entry*
-SuspectTable::Find(const RequestId& aRequest, Instant aNow) const
+SuspectTable::FindEntry(const RequestKey& aRequest, Instant aNow) const
 {
   const auto entry = m_entries.find(aRequest);
   return entry != m_entries.end() && entry->second.m_until > aNow
@@ -115,7 +181,7 @@
 }
 
 SuspectTable::Entry&
-SuspectTable::FindOrAdd(const RequestId& aRequest, Instant aNow)
+SuspectTable::FindOrAdd(const RequestKey& aRequest, Instant aNow)
 {
   if (m_entries.size() >= kEntryLimit && !m_entries.contains(aRequest)) {
     Advance(aNow);
@@ -133,13 +199,16 @@
 void
 SuspectTable::EvictOne()
 {
-  const auto evicted = std::min_element(
-    m_entries.begin(),
-    m_entries.end(),
-    [](const auto& aFirst, const auto& aSecond) {
-      return std::tie(aFirst.second.m_crashes, aFirst.second.m_until) <
-             std::tie(aSecond.second.m_crashes, aSecond.second.m_until);
-    });
+  const auto rank = [](const Entry& aEntry) {
+    return std::make_tuple(
+      aEntry.m_crashes - aEntry.m_cleared, aEntry.m_crashes, aEntry.m_until);
+  };
+  const auto evicted =
+    std::min_element(m_entries.begin(),
+                     m_entries.end(),
+                     [&](const auto& aFirst, const auto& aSecond) {
+                       return rank(aFirst.second) < rank(aSecond.second);
+                     });
   m_entries.erase(evicted);
 }
 
--- a/modules/cr_suspects/tests/cr_ContentKeyTest.cpp
+++ b/modules/cr_suspects/tests/cr_RequestKeyTest.cpp
@@ -8,7 +8,7 @@
 
 TEST(ContentKey, DependsOnEachPart)
 {
-  const ContentKey key = MakeContentKey({ "shop", "GET", "/a", "body" });
+  const RequestKey key = MakeContentKey({ "shop", "GET", "/a", "body" });
   EXPECT_EQ(MakeContentKey({ "shop", "GET", "/a", "body" }), key);
   EXPECT_NE(MakeContentKey({ "shop", "POST", "/a", "body" }), key);
   EXPECT_NE(MakeContentKey({ "shop", "GET", "/b", "body" }), key);
