The release build accepts the codec of suspects

g++ 12 takes operator+ with a literal on the left for an overlapping copy at -O3 and stops (-Werror=restrict); the tests are built with -O2 and did not show it.

--- a/modules/cr_relay_server/protocol/cr_RelayCodec.cpp
+++ b/modules/cr_relay_server/protocol/cr_RelayCodec.cpp
@@ -219,7 +219,10 @@
 {
   std::string text;
   for (const Suspect& suspect : aSuspects) {
-    text += (text.empty() ? "" : ",") + EncodeSuspect(suspect);
+    if (!text.empty()) {
+      text += ',';
+    }
+    text += EncodeSuspect(suspect);
   }
   return text;
 }
