Refused suspects do not eject the hosts that refuse them

Entries took the refusal of a suspect for a failure of the host: a gate that knows a request which crashes servers, and refuses each of its repeats, was ejected for that and got no other requests. In the test a host got 5 of 80 requests after it had refused suspects, 10 or more are expected; it gets its share now.

--- a/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
@@ -62,6 +62,8 @@
   result.m_refused = aReport.m_outcome == Outcome::NotRun &&
                      (aReport.m_reason == Reason::Overloaded ||
                       aReport.m_reason == Reason::RateLimited);
+  // A suspect is refused for what it is: that tells nothing about the host.
+  result.m_connectionLost = aReport.m_reason == Reason::Suspect;
   result.m_latency = aLatency;
   if (aReport.m_server && aReport.m_server->m_condition.m_rateLimit) {
     result.m_rateLoad = aReport.m_gateLoad;
--- a/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
@@ -137,6 +137,28 @@
   EXPECT_GE(refusals[0].m_retryAfter, Seconds(30));
 }
 
+/* Gates that know the request refuse it again and again. */
+TEST(RelayEntryFlow, RefusedSuspectsDoNotEjectTheHostThatRefusesThem)
+{
+  Entry node;
+  const auto countForwards = [&](bool aRefuses) {
+    int count = 0;
+    for (int request = 0; request < 80; ++request) {
+      const CallId call =
+        node.Request("/status/" + std::to_string(request), Seconds(5));
+      const bool isRefusing = node.TakeForwardHost() == "host-2";
+      count += isRefusing ? 1 : 0;
+      node.Answer(call,
+                  isRefusing && aRefuses ? NotRunReport(Reason::Suspect)
+                                         : kCompleted);
+      node.m_now += Milliseconds(10);
+    }
+    return count;
+  };
+  countForwards(true);
+  EXPECT_GE(countForwards(false), 10);
+}
+
 /* A request that has run must not get a status that promises it has not. */
 TEST(RelayEntryFlow, RequestThatCrashedTwoServersGetsNoPromise)
 {
--- a/modules/cr_routing/router/cr_RouteTarget.h
+++ b/modules/cr_routing/router/cr_RouteTarget.h
@@ -29,7 +29,8 @@
   bool m_refused = false;
   Duration m_latency = Duration::zero();
   AdmissionLevel m_level = 0;
-  /** Only the connection failed; the host answered on another one. */
+  /** The attempt tells nothing about the host, as if its connection had been
+      lost while others are in use. */
   bool m_connectionLost = false;
   /** Requests offered to the host's backend server, relative to its rate limit;
       empty if it has none. */
