The end of a server that leaves is no crash

A server that has announced its departure exits after its drain time, with requests in it that took longer. The gate would have blamed them: the test got suspects reported before. Also, a server that was judged crashed is checked at once, so that a false verdict on a busy server ends within its next answer.

--- a/modules/cr_relay/flow/cr_RelayGateFlowSuspects.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlowSuspects.cpp
@@ -220,7 +220,11 @@
     return;
   }
   const auto broken = m_crashDetector.TakeBroken();
-  const bool hasCrashed = verdict == CrashDetector::Verdict::Crashed;
+  const bool isCurrent = MayBeSame(m_brokenServer, m_announcements.Start());
+  // A server that leaves may end with requests in it.
+  const bool hasCrashed =
+    verdict == CrashDetector::Verdict::Crashed &&
+    !(isCurrent && Server().m_state == ServerState::Leaving);
   if (hasCrashed) {
     RecordCrash(broken, aNow, aActions);
   }
@@ -231,7 +235,8 @@
       Answer(run.m_call, ReportOf(DispatchResult::Broken), aNow, aActions);
     }
   }
-  if (hasCrashed && MayBeSame(m_brokenServer, m_announcements.Start())) {
+  if (hasCrashed && isCurrent) {
+    m_nextHealthCheck = aNow;
     OnServerChange(m_announcements.MarkUnreachable(), "crash", aNow, aActions);
   }
 }
--- a/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
@@ -117,6 +117,19 @@
   EXPECT_EQ(node.TakeReport().m_reason, Reason::NoServer);
 }
 
+TEST(RelayGateFlow, EndOfALeavingServerIsNoCrash)
+{
+  Gate node(10);
+  node.AdoptNodes("orders", { "host-1", "host-2" });
+  const CallId call = node.PeerRequest(true);
+  node.Announce(10, 2, true);
+  node.Feed(DispatchEnded{ call, DispatchResult::Broken, std::nullopt, true });
+  const RelayReport report = node.TakeReport();
+  EXPECT_EQ(report.m_outcome, Outcome::Unknown);
+  EXPECT_FALSE(report.m_suspect);
+  EXPECT_TRUE(node.TakeActions<ReportSuspects>().empty());
+}
+
 TEST(RelayGateFlow, SuspectsRunOneAfterTheOther)
 {
   Gate node(10);
