--- a/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
@@ -3,6 +3,8 @@
 #include <future>
 #include <thread>
 
+#include <fmt/format.h>
+
 #include "cr_relay_server/protocol/cr_RelayCodec.h"
 #include "tests/cr_RelayFleet.h"
 
@@ -77,7 +79,7 @@
                                    key + ".1.2.3.4",
                                    key + ".1.2.-3",
                                    key + ".1.2.3,,",
-                                   key + ".1.2.3," + key,
+                                   fmt::format("{0}.1.2.3,{0}", key),
                                    ".1.2.3" + key }) {
     EXPECT_FALSE(DecodeSuspects(text)) << text;
   }
