The next suspect's turn does not stop the timers of its node

When a suspect was refused for want of a slot, the next one was due at the smallest time that there is. The duration until then overflows, the node's timer was set to the far future, and no later one replaced it: from then on only messages drove the node. The test got that time before; the turn comes within the same step now, and a time that can't be expressed no longer reaches the timer.

--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -210,10 +210,10 @@
 {
   DecideCrash(aNow, aActions);
   RefuseLateSuspects(aNow, aActions);
-  RunNextSuspect(aNow, aActions);
   GateDecisions decisions;
   m_queue.Advance(aNow, decisions);
   ApplyDecisions(decisions, aNow, aActions);
+  RunNextSuspect(aNow, aActions);
   if (Server().m_state == ServerState::Absent && aNow >= m_nextHealthCheck) {
     RequestHealthCheck(aNow, aActions);
   }
--- a/modules/cr_relay/flow/cr_RelayGateFlowSuspects.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlowSuspects.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <set>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -126,7 +128,7 @@
 RelayGateFlow::NextSuspectTime() const
 {
   if (m_nextSuspect) {
-    return Instant::min();
+    return Instant();
   }
   std::optional<Instant> due;
   for (const CallId call : m_suspectQueue.Waiting()) {
--- a/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
@@ -169,6 +169,25 @@
   EXPECT_EQ(report.m_reason, Reason::Overloaded);
 }
 
+/* The next suspect is due at once, but not in the infinite past, which timers
+   can't express. */
+TEST(RelayGateFlow, SuspectThatGetsNoSlotMakesWayForTheNext)
+{
+  Gate node(1);
+  node.Feed(SuspectsReported{
+    { { { 9, 1 }, 1, Seconds(60), 0 }, { { 9, 2 }, 1, Seconds(60), 0 } } });
+  const CallId running = node.PeerRequest(true);
+  node.PeerRequest(true, Seconds(1), RequestKey{ 9, 1 });
+  node.PeerRequest(true, Seconds(2), RequestKey{ 9, 2 });
+  node.TakeActions<DispatchRequest>();
+  node.m_now += Seconds(1);
+  node.Feed(RelayTimerDue{});
+  EXPECT_EQ(node.TakeReport().m_reason, Reason::Overloaded);
+  EXPECT_GE(node.m_decisions.NextWakeup(), Instant());
+  node.Feed(DispatchEnded{ running, DispatchResult::Answered });
+  EXPECT_EQ(node.TakeActions<DispatchRequest>().size(), 1U);
+}
+
 /* A request that waits for a slot is refused if it is found guilty
    meanwhile. */
 TEST(RelayGateFlow, WaitingRequestIsNotDispatchedAfterItsSecondCrash)
--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -448,7 +448,8 @@
 void
 RelayServer::Implementation::ScheduleTimer()
 {
-  const Instant due = m_decisions.NextWakeup();
+  // The duration until Instant::min() would overflow.
+  const Instant due = std::max(m_decisions.NextWakeup(), Instant());
   if (due >= m_timerDue) {
     return;
   }
