Peers of a node are collected in one place; due times in one loop

The order in which a started node asks others repeated the loop that collects its peers, and the gate's next wakeup had three copies of the same minimum. Both now share one piece of code. Behaviour is unchanged: the same nodes in the same order, the same times.

--- a/modules/cr_relay/flow/cr_RelayControlFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.cpp
@@ -1,6 +1,7 @@
 #include "cr_relay/flow/cr_RelayControlFlow.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include <fmt/format.h>
@@ -40,6 +41,23 @@
            aRow.m_peer };
 }
 
+using RowsByService = std::map<std::string, std::vector<NodeRow>>;
+
+/* Returns the addresses of the nodes, without that of the host. */
+std::vector<Endpoint>
+PeersOf(const RowsByService& aRows, const HostName& aHost)
+{
+  std::vector<Endpoint> peers;
+  for (const auto& [service, rows] : aRows) {
+    for (const NodeRow& row : rows) {
+      if (row.m_host != aHost) {
+        peers.push_back(row.m_peer);
+      }
+    }
+  }
+  return peers;
+}
+
 }
 
 RelayControlFlow::RelayControlFlow(RelayShared& aShared)
@@ -471,43 +489,30 @@
 RelayControlFlow::FirstPeers() const
 {
   const RelaySettings& settings = m_shared.m_settings;
-  std::vector<Endpoint> own;
-  std::vector<Endpoint> others;
-  for (const auto& [service, rows] : m_shared.m_directory.ReadyByService()) {
-    for (const NodeRow& row : rows) {
-      if (row.m_host != settings.m_host) {
-        (service == settings.m_service ? own : others).push_back(row.m_peer);
-      }
+  RowsByService others = m_shared.m_directory.ReadyByService();
+  RowsByService own;
+  own.insert(others.extract(settings.m_service));
+  std::vector<Endpoint> peers;
+  for (const RowsByService* group : { &own, &others }) {
+    std::vector<Endpoint> part = PeersOf(*group, settings.m_host);
+    if (!part.empty()) {
+      const std::size_t first =
+        Hash(settings.m_host, settings.m_seed) % part.size();
+      std::rotate(part.begin(),
+                  part.begin() + static_cast<std::ptrdiff_t>(first),
+                  part.end());
     }
+    peers.insert(peers.end(), part.begin(), part.end());
   }
-  const auto rotate = [&](std::vector<Endpoint>& aPeers) {
-    if (!aPeers.empty()) {
-      std::rotate(aPeers.begin(),
-                  aPeers.begin() +
-                    static_cast<std::ptrdiff_t>(
-                      Hash(settings.m_host, settings.m_seed) % aPeers.size()),
-                  aPeers.end());
-    }
-  };
-  rotate(own);
-  rotate(others);
-  own.insert(own.end(), others.begin(), others.end());
-  return own;
+  return peers;
 }
 
 /* Returns the nodes with a ready backend server, without this one. */
 std::vector<Endpoint>
 RelayControlFlow::ReadyPeers() const
 {
-  std::vector<Endpoint> peers;
-  for (const auto& [service, rows] : m_shared.m_directory.ReadyByService()) {
-    for (const NodeRow& row : rows) {
-      if (row.m_host != m_shared.m_settings.m_host) {
-        peers.push_back(row.m_peer);
-      }
-    }
-  }
-  return peers;
+  return PeersOf(m_shared.m_directory.ReadyByService(),
+                 m_shared.m_settings.m_host);
 }
 
 void
--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -229,16 +229,17 @@
 std::optional<Instant>
 RelayGateFlow::NextWakeup() const
 {
-  std::optional<Instant> due = m_queue.NextWakeup();
+  std::optional<Instant> healthCheck;
   if (Server().m_state == ServerState::Absent &&
       FindServiceToCheck() != nullptr) {
-    due = std::min(due.value_or(Instant::max()), m_nextHealthCheck);
-  }
-  if (const auto decideBy = m_crashDetector.DecideBy()) {
-    due = std::min(due.value_or(Instant::max()), *decideBy);
+    healthCheck = m_nextHealthCheck;
   }
-  if (const auto suspectsDue = NextSuspectTime()) {
-    due = std::min(due.value_or(Instant::max()), *suspectsDue);
+  std::optional<Instant> due = m_queue.NextWakeup();
+  for (const std::optional<Instant>& other :
+       { healthCheck, m_crashDetector.DecideBy(), NextSuspectTime() }) {
+    if (other) {
+      due = std::min(due.value_or(Instant::max()), *other);
+    }
   }
   return due;
 }
