Log lines and counters tell which limit refuses a request

The log could not distinguish the hypotheses: a refusal did not name its limit, lines about requests are dropped above 100 a second, and nothing told how busy a gate's queue or the process was.

A refusal names its limit (share, in-flight, gate), in the log and as a counter. Once a second a node writes one line for each route with customers' requests, one on the queue of its gate and one on its processor time.

--- a/modules/cr_admission/share/cr_InFlightBound.h
+++ b/modules/cr_admission/share/cr_InFlightBound.h
@@ -36,6 +36,9 @@
   /** Returns the bound, in requests. */
   double Bound() const { return m_bound; }
 
+  /** Returns the number of requests in flight. */
+  int InFlight() const { return m_inFlight; }
+
 private:
   void EndInterval(double aTarget);
 
--- a/modules/cr_admission/slots/cr_SlotQueue.cpp
+++ b/modules/cr_admission/slots/cr_SlotQueue.cpp
@@ -46,11 +46,9 @@
 SlotQueue::Offer(const SlotCall& aCall, Instant aNow, GateDecisions& aDecisions)
 {
   assert(!m_entries.contains(aCall.m_call));
-  const Entry entry{ aCall.m_latestStart,
-                     ++m_arrivals,
-                     aCall.m_call,
-                     aCall.m_isChildCall,
-                     aCall.m_priority };
+  const Entry entry{ aCall.m_latestStart, ++m_arrivals,     aCall.m_call,
+                     aCall.m_isChildCall, aCall.m_priority, aNow };
+  ++m_counts.m_offered;
   m_waiting.insert(entry);
   m_byUrgency.insert(entry);
   m_entries.emplace(aCall.m_call, entry);
@@ -86,6 +84,7 @@
     DispatchWaiting(aNow, aDecisions);
   }
   while (!m_waiting.empty() && m_waiting.begin()->m_latestStart <= aNow) {
+    ++m_counts.m_refusedLate;
     aDecisions.emplace_back(
       GateRefusal{ m_waiting.begin()->m_call, LateReason() });
     Remove(m_waiting.begin());
@@ -115,9 +114,12 @@
       m_rateLimit.IsSet() ? *m_byUrgency.begin() : *m_waiting.begin();
     Remove(m_waiting.find(entry));
     if (entry.m_latestStart < aNow) {
+      ++m_counts.m_refusedLate;
       aDecisions.emplace_back(GateRefusal{ entry.m_call, LateReason() });
       continue;
     }
+    ++m_counts.m_dispatched;
+    m_counts.m_waited += aNow - entry.m_offered;
     m_rateLimit.Consume(aNow);
     m_running.insert(entry.m_call);
     aDecisions.emplace_back(GateDispatch{ entry.m_call });
@@ -131,6 +133,7 @@
   const std::size_t limit = kWaitingPerSlot * std::max<std::size_t>(m_limit, 1);
   while (m_waiting.size() > limit) {
     const Entry last = *m_byUrgency.rbegin();
+    ++m_counts.m_refusedFull;
     aDecisions.emplace_back(GateRefusal{ last.m_call, Reason::Overloaded });
     Remove(m_waiting.find(last));
   }
--- a/modules/cr_admission/slots/cr_SlotQueue.h
+++ b/modules/cr_admission/slots/cr_SlotQueue.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 
 #include "cr_admission/gate/cr_Gate.h"
 #include "cr_admission/slots/cr_RateLimit.h"
@@ -23,6 +24,19 @@
   std::uint32_t m_priority = 0;
 };
 
+/** What a SlotQueue decided on calls since the last report. */
+struct SlotQueueCounts
+{
+  std::uint32_t m_offered = 0;
+  std::uint32_t m_dispatched = 0;
+  /** Refused because they could not start in time. */
+  std::uint32_t m_refusedLate = 0;
+  /** Refused because too many calls waited. */
+  std::uint32_t m_refusedFull = 0;
+  /** Sum of the waiting times of dispatched calls. */
+  Duration m_waited = Duration::zero();
+};
+
 /** Dispatches calls to a backend server with a known number of slots, and
     orders waiting calls by their latest start (earliest deadline first; Liu and
     Layland, 1973).
@@ -65,6 +79,9 @@
       rate limit held back. */
   void Advance(Instant aNow, GateDecisions& aDecisions);
 
+  /** Returns the counts since the last call, and resets them. */
+  SlotQueueCounts TakeCounts() { return std::exchange(m_counts, {}); }
+
   //==========================================================================
   /** Returns the number of calls in the server. */
   std::size_t Running() const { return m_running.size(); }
@@ -90,6 +107,7 @@
     CallId m_call{};
     bool m_isChildCall = false;
     std::uint32_t m_priority = 0;
+    Instant m_offered;
 
     bool operator<(const Entry& aOther) const
     {
@@ -120,6 +138,7 @@
   std::set<Entry, ByUrgency> m_byUrgency;
   RateLimit m_rateLimit;
   std::unordered_map<CallId, Entry> m_entries;
+  SlotQueueCounts m_counts;
 };
 
 }
--- a/modules/cr_metrics/process/cr_ProcessUsage.cpp
+++ b/modules/cr_metrics/process/cr_ProcessUsage.cpp
@@ -19,15 +19,20 @@
 
 }
 
+Duration
+ReadProcessorTime()
+{
+  rusage resources{};
+  return getrusage(RUSAGE_SELF, &resources) == 0
+           ? ToDuration(resources.ru_utime) + ToDuration(resources.ru_stime)
+           : Duration::zero();
+}
+
 ProcessUsage
 ReadProcessUsage()
 {
   ProcessUsage usage;
-  rusage resources{};
-  if (getrusage(RUSAGE_SELF, &resources) == 0) {
-    usage.m_processor =
-      ToDuration(resources.ru_utime) + ToDuration(resources.ru_stime);
-  }
+  usage.m_processor = ReadProcessorTime();
   std::ifstream file("/proc/self/status");
   std::string word;
   while (file >> word) {
--- a/modules/cr_relay/event/cr_RelayAction.h
+++ b/modules/cr_relay/event/cr_RelayAction.h
@@ -62,6 +62,9 @@
   /** For the log: limit of requests in flight of the route; 0 if there is
       none. */
   double m_bound = 0;
+  /** The limit that refused the request; empty if none did. For the log and
+      metrics. */
+  std::string_view m_limit{};
   /** For the log: host of the latest attempt; empty if there was none. */
   HostName m_host{};
 };
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
@@ -38,6 +38,11 @@
 constexpr double kRetryAfterSpread = 0.35;
 constexpr double kRetryAfterMaxRemaining = 0.33;
 
+/* Time between log lines on the admission of each route. */
+constexpr Duration kAdmissionReportInterval = Seconds(1);
+/* The limit, in logs and metrics, that refuses a request at the gates. */
+constexpr std::string_view kGateLimit = "gate";
+
 constexpr unsigned kStatusNotFound = 404;
 constexpr unsigned kStatusBadGateway = 502;
 constexpr unsigned kStatusUnavailable = 503;
@@ -97,11 +102,12 @@
   call.m_arrived = aNow;
   call.m_deadline = aNow + aEvent.m_callerTimeout.value_or(Seconds(1));
   if (m_shared.m_routes.ActiveGeneration() == 0) {
-    Refuse(call, kStatusUnavailable, Reason::StoreUnavailable, aNow, aActions);
+    Refuse(
+      call, kStatusUnavailable, Reason::StoreUnavailable, {}, aNow, aActions);
     return;
   }
   if (call.m_route == nullptr) {
-    Refuse(call, kStatusNotFound, Reason::UnknownService, aNow, aActions);
+    Refuse(call, kStatusNotFound, Reason::UnknownService, {}, aNow, aActions);
     return;
   }
   const Duration timeout =
@@ -112,10 +118,18 @@
   call.m_isChildCall = m_shared.m_calledRoutes.contains(call.m_route->m_name);
   if (call.m_isChildCall) {
     m_shared.m_pattern.CountCall(call.m_route->m_name, aNow);
-  } else if (m_shared.m_settings.m_hasOverloadControl &&
-             !Admit(aEvent, call, aNow)) {
-    Refuse(call, kStatusUnavailable, Reason::Overloaded, aNow, aActions);
-    return;
+  } else if (m_shared.m_settings.m_hasOverloadControl) {
+    ReportAdmissions(aNow, aActions);
+    const AdmissionLimit limit = Admit(aEvent, call, aNow);
+    if (limit != AdmissionLimit::None) {
+      Refuse(call,
+             kStatusUnavailable,
+             Reason::Overloaded,
+             ToText(limit),
+             aNow,
+             aActions);
+      return;
+    }
   }
   m_budget.CountRequest(call.m_service, aNow);
   Call& stored = m_calls.emplace(call.m_id, std::move(call)).first->second;
@@ -199,7 +213,7 @@
 }
 
 //==============================================================================
-bool
+AdmissionLimit
 RelayEntryFlow::Admit(const RequestArrived& aEvent,
                       const Call& aCall,
                       Instant aNow)
@@ -212,6 +226,37 @@
     *aCall.m_route, aEvent.m_callerTimeout, m_random.NextDouble(), aNow);
 }
 
+/* Logs what was decided on the requests of each route that had some. */
+void
+RelayEntryFlow::ReportAdmissions(Instant aNow, RelayActions& aActions)
+{
+  if (aNow < m_nextAdmissionReport) {
+    return;
+  }
+  m_nextAdmissionReport = aNow + kAdmissionReportInterval;
+  for (auto& [route, admission] : m_admissions) {
+    const AdmissionCounts counts = admission.TakeCounts();
+    if (counts.m_admitted + counts.m_aboveShare + counts.m_aboveInFlight == 0) {
+      continue;
+    }
+    aActions.emplace_back(LogDecision{
+      "route-admission",
+      std::nullopt,
+      fmt::format("\"route\":\"{}\",\"admitted\":{},\"above_share\":{},"
+                  "\"above_in_flight\":{},\"share\":{:.2f},\"bound\":{:.0f},"
+                  "\"in_flight\":{},\"load\":{:.2f},\"loads\":{}",
+                  route,
+                  counts.m_admitted,
+                  counts.m_aboveShare,
+                  counts.m_aboveInFlight,
+                  admission.Share(),
+                  admission.Bound(),
+                  admission.InFlight(),
+                  counts.m_loads > 0 ? counts.m_loadSum / counts.m_loads : 0,
+                  counts.m_loads) });
+  }
+}
+
 RouteAdmission*
 RelayEntryFlow::FindAdmission(const Call& aCall)
 {
@@ -466,6 +511,7 @@
     Refuse(aCall,
            aCall.m_runs > 0 ? mayHaveRun : kStatusUnavailable,
            aCall.m_lastReason,
+           aCall.m_lastReason == Reason::Overloaded ? kGateLimit : "",
            aNow,
            aActions);
   }
@@ -477,6 +523,7 @@
 RelayEntryFlow::Refuse(const Call& aCall,
                        unsigned aStatus,
                        Reason aReason,
+                       std::string_view aLimit,
                        Instant aNow,
                        RelayActions& aActions)
 {
@@ -484,6 +531,7 @@
   refusal.m_call = aCall.m_id;
   refusal.m_status = aStatus;
   refusal.m_reason = aReason;
+  refusal.m_limit = aLimit;
   if (aStatus == kStatusUnavailable) {
     refusal.m_retryAfter =
       std::max(RetryAfter(aCall, aNow),
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.h
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.h
@@ -76,7 +76,10 @@
     Reason m_lastReason = Reason::NoServer;
   };
 
-  bool Admit(const RequestArrived& aEvent, const Call& aCall, Instant aNow);
+  AdmissionLimit Admit(const RequestArrived& aEvent,
+                       const Call& aCall,
+                       Instant aNow);
+  void ReportAdmissions(Instant aNow, RelayActions& aActions);
   RouteAdmission* FindAdmission(const Call& aCall);
   std::optional<RouteTarget> ChooseTarget(const Call& aCall,
                                           Router& aRouter,
@@ -99,6 +102,7 @@
   void Refuse(const Call& aCall,
               unsigned aStatus,
               Reason aReason,
+              std::string_view aLimit,
               Instant aNow,
               RelayActions& aActions);
   Duration RetryAfter(const Call& aCall, Instant aNow);
@@ -109,6 +113,7 @@
   RetryBudget m_budget;
   std::unordered_map<CallId, Call> m_calls;
   std::unordered_map<std::string, RouteAdmission> m_admissions;
+  Instant m_nextAdmissionReport;
 };
 
 }
--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -20,6 +20,8 @@
 /* Time between health checks of an absent server; half of the usual time
    between announcements of a server. */
 constexpr Duration kHealthCheckInterval = Milliseconds(700);
+/* Time between log lines on the queue. */
+constexpr Duration kQueueReportInterval = Seconds(1);
 
 /* Returns the limit as a JSON value. */
 std::string
@@ -53,6 +55,7 @@
     aActions.emplace_back(AnswerPeer{ aEvent.m_call, report });
     return;
   }
+  ReportQueue(aNow, aActions);
   m_load.CountArrival(aEvent.m_header.m_route, aNow);
   m_origins.Count(aEvent.m_header.m_route, aEvent.m_originService, aNow);
   Call call;
@@ -285,6 +288,34 @@
          Server().m_slots > 0;
 }
 
+/* Logs what was decided on calls since the last report. */
+void
+RelayGateFlow::ReportQueue(Instant aNow, RelayActions& aActions)
+{
+  if (aNow < m_nextQueueReport) {
+    return;
+  }
+  m_nextQueueReport = aNow + kQueueReportInterval;
+  const SlotQueueCounts counts = m_queue.TakeCounts();
+  const Duration meanWait =
+    counts.m_waited / std::max<Duration::rep>(counts.m_dispatched, 1);
+  aActions.emplace_back(LogDecision{
+    "gate-queue",
+    std::nullopt,
+    fmt::format("\"offered\":{},\"dispatched\":{},\"refused_late\":{},"
+                "\"refused_full\":{},\"mean_wait_us\":{},\"running\":{},"
+                "\"waiting\":{},\"limit\":{},\"load\":{:.2f}",
+                counts.m_offered,
+                counts.m_dispatched,
+                counts.m_refusedLate,
+                counts.m_refusedFull,
+                meanWait.count(),
+                m_queue.Running(),
+                m_queue.Waiting(),
+                m_queue.Limit(),
+                Load(aNow)) });
+}
+
 /* Why a gate that is not open refuses requests. */
 Reason
 RelayGateFlow::ClosedReason() const
--- a/modules/cr_relay/flow/cr_RelayGateFlow.h
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.h
@@ -102,6 +102,7 @@
   const RoutedService* FindServiceToCheck() const;
   void RequestHealthCheck(Instant aNow, RelayActions& aActions);
   bool IsOpen() const;
+  void ReportQueue(Instant aNow, RelayActions& aActions);
   double SlotLoad(Instant aNow) const;
   void ApplyDecisions(GateDecisions& aDecisions,
                       Instant aNow,
@@ -176,6 +177,7 @@
   Instant m_conditionSince;
   std::uint64_t m_conditionDispatches = 0;
   std::unordered_map<CallId, Call> m_calls;
+  Instant m_nextQueueReport;
   /* Number of consecutive dispatches that reached no server. */
   int m_consecutiveUnreachable = 0;
   SuspectQueue m_suspectQueue;
--- a/modules/cr_relay/flow/cr_RouteAdmission.cpp
+++ b/modules/cr_relay/flow/cr_RouteAdmission.cpp
@@ -27,7 +27,21 @@
 
 }
 
-bool
+std::string_view
+ToText(AdmissionLimit aLimit)
+{
+  switch (aLimit) {
+    case AdmissionLimit::Share:
+      return "share";
+    case AdmissionLimit::InFlight:
+      return "in-flight";
+    case AdmissionLimit::None:
+      break;
+  }
+  return "";
+}
+
+AdmissionLimit
 RouteAdmission::Admit(const RouteDescription& aRoute,
                       std::optional<Duration> aCallerTimeout,
                       double aUnit,
@@ -35,12 +49,17 @@
 {
   m_share.SetTarget(TargetOf(aRoute));
   const bool isReturning = aCallerTimeout && IsReturning(*aCallerTimeout);
-  const bool isAdmitted =
-    m_share.Admit({ isReturning, aUnit }, aNow) && m_bound.HasCapacity();
-  if (isAdmitted) {
-    m_bound.Begin();
+  if (!m_share.Admit({ isReturning, aUnit }, aNow)) {
+    ++m_counts.m_aboveShare;
+    return AdmissionLimit::Share;
+  }
+  if (!m_bound.HasCapacity()) {
+    ++m_counts.m_aboveInFlight;
+    return AdmissionLimit::InFlight;
   }
-  return isAdmitted;
+  ++m_counts.m_admitted;
+  m_bound.Begin();
+  return AdmissionLimit::None;
 }
 
 void
@@ -49,6 +68,8 @@
                            Duration aLatency,
                            Instant aNow)
 {
+  m_counts.m_loadSum += aLoad;
+  ++m_counts.m_loads;
   m_bound.RecordLoad(aLoad, TargetOf(aRoute), aNow);
   // A path load of 0 means that none was reported; the share would rise.
   if (aLoad > 0) {
--- a/modules/cr_relay_server/server/cr_RelayMetrics.cpp
+++ b/modules/cr_relay_server/server/cr_RelayMetrics.cpp
@@ -24,8 +24,9 @@
 constexpr MetricId kResidentBytes = 15;
 constexpr MetricId kLostLogLines = 16;
 constexpr MetricId kReadDelaySeconds = 17;
+constexpr MetricId kRefusals = 18;
 
-constexpr std::array<MetricFamily, 18> kFamilies = { {
+constexpr std::array<MetricFamily, 19> kFamilies = { {
   { "corianderrack_relay_requests_total",
     "Requests that arrived",
     MetricKind::Counter },
@@ -78,6 +79,9 @@
   { "corianderrack_relay_read_delay_seconds",
     "Time until the process reads from a readable descriptor",
     MetricKind::Histogram },
+  { "corianderrack_relay_refusals_total",
+    "Requests that this node refused as their entry, by reason and limit",
+    MetricKind::Counter },
 } };
 
 std::string_view
@@ -128,6 +132,14 @@
     kAnswerSeconds, std::array{ MetricLabel{ "at", aIngress } }, aDuration);
 }
 
+void
+RelayMetrics::CountRefusal(Reason aReason, std::string_view aLimit)
+{
+  m_registry.Add(kRefusals,
+                 std::array{ MetricLabel{ "limit", aLimit },
+                             MetricLabel{ "reason", ToText(aReason) } });
+}
+
 void
 RelayMetrics::CountDispatch(DispatchResult aResult, Duration aDuration)
 {
--- a/modules/cr_relay_server/server/cr_RelayMetrics.h
+++ b/modules/cr_relay_server/server/cr_RelayMetrics.h
@@ -26,6 +26,10 @@
                    Reason aReason,
                    Duration aDuration);
 
+  /** Counts a request that this node refused as its entry; aLimit is empty if
+      no limit refused it. */
+  void CountRefusal(Reason aReason, std::string_view aLimit);
+
   /** Counts a finished dispatch to the backend server and records how long it
       took. */
   void CountDispatch(DispatchResult aResult, Duration aDuration);
--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -48,6 +48,8 @@
 constexpr Duration kReadDelayInterval = Milliseconds(100);
 /* Longer read delays are logged. */
 constexpr Duration kLoggedReadDelay = Milliseconds(100);
+/* Time between log lines on the processor. */
+constexpr Duration kProcessorReportInterval = Seconds(1);
 
 HttpClientSettings
 ClientSettings(Duration aIdleLimit,
@@ -469,6 +471,8 @@
 RelayServer::Implementation::OnReadDelayMeasured(Duration aDelay)
 {
   m_metrics.ObserveReadDelay(aDelay);
+  m_maxReadDelay = std::max(m_maxReadDelay, aDelay);
+  ReportProcessor(IoThreads::Now());
   if (aDelay > kLoggedReadDelay) {
     const RelayStatus status = m_decisions.Status(IoThreads::Now());
     m_log.Write("late-read",
@@ -482,6 +486,25 @@
   }
 }
 
+void
+RelayServer::Implementation::ReportProcessor(Instant aNow)
+{
+  if (aNow < m_processorReported + kProcessorReportInterval) {
+    return;
+  }
+  const Duration used = ReadProcessorTime();
+  m_log.Write("processor",
+              fmt::format("\"used_ms\":{},\"in_ms\":{},"
+                          "\"max_read_delay_ms\":{},\"pending\":{}",
+                          ToMilliseconds(used - m_processorUsed),
+                          ToMilliseconds(aNow - m_processorReported),
+                          ToMilliseconds(m_maxReadDelay),
+                          m_pendingCalls.size()));
+  m_processorReported = aNow;
+  m_processorUsed = used;
+  m_maxReadDelay = Duration::zero();
+}
+
 RelayServer::Implementation::PendingCall*
 RelayServer::Implementation::FindPendingCall(CallId aCall)
 {
--- a/modules/cr_relay_server/server/cr_RelayShell.h
+++ b/modules/cr_relay_server/server/cr_RelayShell.h
@@ -68,6 +68,7 @@
   void OnPeerGeneration(Generation aGeneration, const Endpoint& aPeer);
   void ScheduleTimer();
   void OnReadDelayMeasured(Duration aDelay);
+  void ReportProcessor(Instant aNow);
 
   void Execute(const ForwardRequest& aAction);
   void Execute(const CancelForward& aAction);
@@ -119,6 +120,10 @@
   TimerHandle m_timer;
   IoThreads m_threads;
   EventLoopProbe m_readDelayProbe;
+  /* Since the last log line on the processor. */
+  Instant m_processorReported;
+  Duration m_processorUsed = Duration::zero();
+  Duration m_maxReadDelay = Duration::zero();
   HttpClient m_peerClient;
   HttpClient m_serverClient;
   HttpClient m_storeClient;
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -299,6 +299,7 @@
   if (pending == nullptr) {
     return;
   }
+  m_metrics.CountRefusal(aAction.m_reason, aAction.m_limit);
   RelayReport report;
   report.m_reason = aAction.m_reason;
   report.m_outcome = aAction.m_retryAfter ? Outcome::NotRun : Outcome::Unknown;
@@ -306,11 +307,12 @@
     "refuse",
     pending->m_id,
     fmt::format(
-      "\"status\":{},\"reason\":\"{}\",\"at\":\"{}\","
+      "\"status\":{},\"reason\":\"{}\",\"limit\":\"{}\",\"at\":\"{}\","
       "\"target\":{},\"held_ms\":{},\"retry_after_ms\":{},"
       "\"share\":{:.2f},\"bound\":{:.0f},\"tried\":\"{}\",\"generation\":{}",
       aAction.m_status,
       ToText(aAction.m_reason),
+      aAction.m_limit,
       pending->m_ingress,
       QuoteJson(pending->m_request->m_target),
       ToMilliseconds(IoThreads::Now() - pending->m_arrivedAt),
