Calls of a busy route are not attributed to a rare one

What callers saw: up to half of the proofs were refused, although a proof makes no calls and archiv, which runs it, had room. Cause: archiv's calls to tarif are attributed to the routes it runs by least squares on counts. For a route with few requests the factor is mostly chance, as the calls of the busy route vary by more than all that it could make; it exceeded the threshold most of the time, and proofs answered to the load of tarif.

A factor now counts only if it exceeds 3.5 standard errors, unless none does. (The errors of successive windows add up, since calls follow the start of their request.)

--- a/modules/cr_admission/share/cr_CallPattern.cpp
+++ b/modules/cr_admission/share/cr_CallPattern.cpp
@@ -1,6 +1,7 @@
 #include "cr_admission/share/cr_CallPattern.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cr {
 
@@ -21,6 +22,9 @@
 /* Below this number of calls per request, the calls are not attributed to the
    route. */
 constexpr double kMinCallsPerRequest = 0.3;
+/* Standard errors by which a factor must differ from 0. Calls follow the start
+   of their request with a delay, so the errors of successive windows add up. */
+constexpr double kMinStandardErrors = 3.5;
 /* A request takes at least as long as each of its calls. If the mean time of
    the requests is below this part of the mean time of the calls, the requests
    don't make the calls; the margin allows for times that change. */
@@ -28,6 +32,39 @@
 /* Samples needed for a valid mean. */
 constexpr double kMinTimeSamples = 5;
 
+using Matrix = std::vector<std::vector<double>>;
+
+/* Returns the diagonal of the inverse of a symmetric positive definite matrix,
+   by Gauss-Jordan elimination. */
+std::vector<double>
+InverseDiagonal(Matrix aMatrix)
+{
+  const std::size_t size = aMatrix.size();
+  Matrix inverse(size, std::vector<double>(size, 0.0));
+  for (std::size_t pivot = 0; pivot < size; ++pivot) {
+    inverse.at(pivot).at(pivot) = 1;
+  }
+  for (std::size_t pivot = 0; pivot < size; ++pivot) {
+    const double scale = aMatrix.at(pivot).at(pivot);
+    for (std::size_t column = 0; column < size; ++column) {
+      aMatrix.at(pivot).at(column) /= scale;
+      inverse.at(pivot).at(column) /= scale;
+    }
+    for (std::size_t row = 0; row < size; ++row) {
+      const double factor = row != pivot ? aMatrix.at(row).at(pivot) : 0;
+      for (std::size_t column = 0; column < size && factor != 0; ++column) {
+        aMatrix.at(row).at(column) -= factor * aMatrix.at(pivot).at(column);
+        inverse.at(row).at(column) -= factor * inverse.at(pivot).at(column);
+      }
+    }
+  }
+  std::vector<double> diagonal(size);
+  for (std::size_t pivot = 0; pivot < size; ++pivot) {
+    diagonal.at(pivot) = inverse.at(pivot).at(pivot);
+  }
+  return diagonal;
+}
+
 }
 
 void
@@ -94,6 +131,7 @@
   const auto target = m_targets.find(aCalled);
   return route != m_routes.end() && target != m_targets.end() &&
          FactorOf(target->second, route->second) >= kMinCallsPerRequest &&
+         IsCredible(target->second, route->second) &&
          CanContain(m_runTimes.at(route->second), target->second.m_time);
 }
 
@@ -116,6 +154,12 @@
       element = kDecay * element + m_runs.at(row) * m_runs.at(column);
     }
   }
+  m_windows = kDecay * m_windows + 1;
+  Matrix regularized = m_gramMatrix;
+  for (std::size_t row = 0; row < regularized.size(); ++row) {
+    regularized.at(row).at(row) += kRidge;
+  }
+  m_inverseDiagonal = InverseDiagonal(std::move(regularized));
   const auto decay = [](MeanTime& aMean) {
     aMean.m_seconds *= kDecay;
     aMean.m_count *= kDecay;
@@ -128,8 +172,11 @@
       double& product = target.m_crossProducts.at(row);
       product = kDecay * product + m_runs.at(row) * target.m_count;
     }
+    target.m_squares =
+      kDecay * target.m_squares + target.m_count * target.m_count;
     target.m_count = 0;
     Solve(target);
+    FindSignificant(target);
   }
   std::fill(m_runs.begin(), m_runs.end(), 0.0);
 }
@@ -168,6 +215,39 @@
   }
 }
 
+/* Compares each factor with its standard error in ordinary least squares. */
+void
+CallPattern::FindSignificant(Target& aTarget) const
+{
+  // The residual sum of squares at the solution.
+  double residual = aTarget.m_squares;
+  for (std::size_t row = 0; row < m_runs.size(); ++row) {
+    residual -= 2 * aTarget.m_factors.at(row) * aTarget.m_crossProducts.at(row);
+    for (std::size_t column = 0; column < m_runs.size(); ++column) {
+      residual += aTarget.m_factors.at(row) * aTarget.m_factors.at(column) *
+                  m_gramMatrix.at(row).at(column);
+    }
+  }
+  const double variance = std::max(0.0, residual) / m_windows;
+  aTarget.m_isSignificant.assign(m_runs.size(), false);
+  for (std::size_t row = 0; row < m_runs.size(); ++row) {
+    const double error = std::sqrt(variance * m_inverseDiagonal.at(row));
+    aTarget.m_isSignificant.at(row) =
+      aTarget.m_factors.at(row) > kMinStandardErrors * error;
+  }
+}
+
+/* Somebody makes the calls, so without any significant factor all count. */
+bool
+CallPattern::IsCredible(const Target& aTarget, std::size_t aRoute)
+{
+  const auto& significant = aTarget.m_isSignificant;
+  return aRoute < significant.size() &&
+         (significant.at(aRoute) ||
+          std::find(significant.begin(), significant.end(), true) ==
+            significant.end());
+}
+
 std::size_t
 CallPattern::IndexOf(const std::string& aRoute)
 {
--- a/modules/cr_admission/share/cr_CallPattern.h
+++ b/modules/cr_admission/share/cr_CallPattern.h
@@ -14,8 +14,11 @@
     In each window of fixed length, the number of calls is modelled as a linear
     combination of the requests that started, with one factor per route. The
     factors are found by non-negative least squares, with decaying weights for
-    older windows. Where rates hardly change, counts alone are ambiguous. But
-    no request ends before the calls that it waits for, so routes whose requests
+    older windows. The factor of a route with few requests is mostly chance, as
+    the calls of a busier route vary by more than all that it could make; so a
+    factor counts only if it exceeds its standard error clearly, unless no
+    factor does. Where rates hardly change, counts alone are ambiguous. But no
+    request ends before the calls that it waits for, so routes whose requests
     take less time than the calls make none of them. Not thread safe. */
 class CallPattern
 {
@@ -56,7 +59,11 @@
     MeanTime m_time;
     /* Weighted sums over the windows of requests times calls, by route. */
     std::vector<double> m_crossProducts;
+    /* The same of calls times calls. */
+    double m_squares = 0;
     std::vector<double> m_factors;
+    /* Whether the factor of the route exceeds its standard error clearly. */
+    std::vector<bool> m_isSignificant;
   };
 
   void Advance(Instant aNow);
@@ -64,6 +71,8 @@
   static double FactorOf(const Target& aTarget, std::size_t aRoute);
   static bool CanContain(const MeanTime& aRun, const MeanTime& aCall);
   void Solve(Target& aTarget) const;
+  void FindSignificant(Target& aTarget) const;
+  static bool IsCredible(const Target& aTarget, std::size_t aRoute);
   std::size_t IndexOf(const std::string& aRoute);
 
   Instant m_windowEnd;
@@ -72,6 +81,10 @@
   std::vector<MeanTime> m_runTimes;
   /* Weighted sums over the windows of requests times requests, by route. */
   std::vector<std::vector<double>> m_gramMatrix;
+  /* Weighted number of windows. */
+  double m_windows = 0;
+  /* Diagonal of the inverse of m_gramMatrix. */
+  std::vector<double> m_inverseDiagonal;
   std::map<std::string, Target, std::less<>> m_targets;
 };
 
--- a/modules/cr_admission/tests/cr_ShareTest.cpp
+++ b/modules/cr_admission/tests/cr_ShareTest.cpp
@@ -107,8 +107,17 @@
 class TwoKinds
 {
 public:
-  explicit TwoKinds(std::uint64_t aSeed)
+  struct Times
+  {
+    double m_stockPerMillisecond = 0.08;
+    double m_proofPerMillisecond = 0.015;
+    std::int64_t m_proofMilliseconds = 72;
+    std::int64_t m_callMilliseconds = 250;
+  };
+
+  TwoKinds(std::uint64_t aSeed, const Times& aTimes)
     : m_random(aSeed)
+    , m_times(aTimes)
   {
   }
 
@@ -121,8 +130,8 @@
     int steps = 0;
     while (m_now < end) {
       m_now += Milliseconds(1);
-      Start("stock", kStockPerMillisecond, 4);
-      Start("proof", kProofPerMillisecond, 0);
+      Start("stock", m_times.m_stockPerMillisecond, 4);
+      Start("proof", m_times.m_proofPerMillisecond, 0);
       while (!m_events.empty() && m_events.begin()->first <= m_now) {
         const auto event = m_events.extract(m_events.begin());
         event.mapped()();
@@ -135,9 +144,6 @@
   }
 
 private:
-  static constexpr double kStockPerMillisecond = 0.08;
-  static constexpr double kProofPerMillisecond = 0.015;
-
   Duration Spread(std::int64_t aMilliseconds)
   {
     return Milliseconds(aMilliseconds / 2) +
@@ -156,13 +162,14 @@
   void Continue(const std::string& aRoute, Instant aStart, int aCalls)
   {
     if (aCalls == 0) {
-      const Instant end = m_now + Spread(aRoute == "proof" ? 72 : 15);
+      const Instant end =
+        m_now + Spread(aRoute == "proof" ? m_times.m_proofMilliseconds : 15);
       m_events.emplace(
         end, [=, this] { m_pattern.RecordRunTime(aRoute, end - aStart, end); });
       return;
     }
     m_pattern.CountCall("size", m_now);
-    const Duration time = Spread(250);
+    const Duration time = Spread(m_times.m_callMilliseconds);
     m_events.emplace(m_now + time, [=, this] {
       m_pattern.RecordCallTime("size", time, m_now);
       Continue(aRoute, aStart, aCalls - 1);
@@ -170,6 +177,7 @@
   }
 
   Random m_random;
+  const Times m_times;
   CallPattern m_pattern;
   Instant m_now;
   std::multimap<Instant, std::function<void()>> m_events;
@@ -178,12 +186,23 @@
 TEST(CallPattern, LongCallsAreNotAttributedToRequestsThatMakeNone)
 {
   for (std::uint64_t seed = 1; seed <= 10; ++seed) {
-    TwoKinds server(seed);
+    TwoKinds server(seed, {});
     server.RunFor(Seconds(2));
     EXPECT_LT(server.RunFor(Seconds(30)), 0.01) << "seed " << seed;
   }
 }
 
+/* Incident SHORT: a server runs many stock requests, which make four calls
+   each, and few proofs, which make none and last longer than a call. */
+TEST(CallPattern, CallsOfABusyRouteAreNotAttributedToARareOne)
+{
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    TwoKinds server(seed, { 0.4, 0.05, 130, 60 });
+    server.RunFor(Seconds(3));
+    EXPECT_LT(server.RunFor(Seconds(30)), 0.05) << "seed " << seed;
+  }
+}
+
 /* Entry nodes in front of one bottleneck. Each admits a share of its requests
    and receives the load with a delay; refused customers retry once. */
 class Bottleneck
