Ejected hosts are probed

Cause: the server had been down and up by turns until 15.4 s (srv_flap), and each new ejection lasted twice as long as the one before, up to 40 s; no call was sent meanwhile that could have shown that it was back. The same in the own node, which shares the router.

An attempt that may be repeated is sent to an ejected host every 0.3 s; three answers in a row end the ejection, and the host starts with half of its share.

Router.HostThatHasStoppedFlappingIsUsedAgainWithinSeconds fails before (the host gets no attempts). Probes are at most 2 % of the attempts of a node, as each of many nodes with few requests would else send a large part of them to a failing host, and get rarer while they fail.

--- a/modules/cr_node/flow/cr_EntryFlow.cpp
+++ b/modules/cr_node/flow/cr_EntryFlow.cpp
@@ -330,8 +330,11 @@
   const auto excluded = m_shared.m_policy.m_requestAttemptBudget
                           ? std::span<const HostName>(aCall.m_attemptedHosts)
                           : std::span<const HostName>();
-  return m_shared.m_routers.Choose(
-    aCall.m_header.m_operation.m_service, rank, excluded, aNow);
+  return m_shared.m_routers.Choose(aCall.m_header.m_operation.m_service,
+                                   rank,
+                                   excluded,
+                                   aNow,
+                                   aCall.m_idempotent);
 }
 
 std::optional<RouteTarget>
--- a/modules/cr_node/shared/cr_RouterTable.cpp
+++ b/modules/cr_node/shared/cr_RouterTable.cpp
@@ -32,14 +32,16 @@
 RouterTable::Choose(const std::string& aService,
                     Rank aRank,
                     std::span<const HostName> aExcluded,
-                    Instant aNow)
+                    Instant aNow,
+                    bool aMayBeRepeated)
 {
   const RouterPointer router = Find(aService);
   if (!router) {
     return std::nullopt;
   }
-  return router->WithLock(
-    [&](Router& aRouter) { return aRouter.Choose(aRank, aExcluded, aNow); });
+  return router->WithLock([&](Router& aRouter) {
+    return aRouter.Choose(aRank, aExcluded, aNow, aMayBeRepeated);
+  });
 }
 
 void
--- a/modules/cr_node/shared/cr_RouterTable.h
+++ b/modules/cr_node/shared/cr_RouterTable.h
@@ -31,7 +31,8 @@
   std::optional<RouteTarget> Choose(const std::string& aService,
                                     Rank aRank,
                                     std::span<const HostName> aExcluded,
-                                    Instant aNow);
+                                    Instant aNow,
+                                    bool aMayBeRepeated);
 
   /** Reports the end of an attempt. @see Router::Report */
   void Report(const std::string& aService,
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
@@ -335,11 +335,13 @@
         excluded.push_back(host);
       }
     }
-    if (auto target = aRouter.Choose(rank, excluded, aNow)) {
+    if (auto target = aRouter.Choose(
+          rank, excluded, aNow, aCall.m_route->m_idempotent)) {
       return target;
     }
   }
-  auto target = aRouter.Choose(rank, aCall.m_triedHosts, aNow);
+  auto target = aRouter.Choose(
+    rank, aCall.m_triedHosts, aNow, aCall.m_route->m_idempotent);
   // Servers that refuse only some requests may accept this one next time.
   return !target && aCall.m_lastReason == Reason::ServerFailed
            ? aRouter.Choose(rank, {}, aNow)
--- a/modules/cr_routing/health/cr_HostHealth.cpp
+++ b/modules/cr_routing/health/cr_HostHealth.cpp
@@ -15,6 +15,10 @@
 constexpr Duration kEjectionMemory = Seconds(60);
 constexpr double kEjectionJitter = 0.2;
 constexpr double kMinRampShare = 0.1;
+/* Probes in a row that must be answered to end an ejection. */
+constexpr std::uint32_t kNeededProbes = 3;
+/* A host whose probes were answered starts with this share. */
+constexpr double kProbedRampShare = 0.5;
 /* The share of a host with a rate limit is stepped by (target / load), damped,
    within bounds. The damping keeps the loop stable with the time over which the
    load is averaged. */
@@ -48,6 +52,9 @@
     return;
   }
   const bool failed = !aResult.m_answered && !aResult.m_refused;
+  if (IsEjected(aNow) && aNow - aResult.m_latency >= m_ejectedSince) {
+    RecordProbe(!failed, aNow);
+  }
   UpdateMean(m_failure, failed ? 1 : 0);
   UpdateMean(m_refusal, aResult.m_refused ? 1 : 0);
   m_consecutiveFailures = failed ? m_consecutiveFailures + 1 : 0;
@@ -77,7 +84,11 @@
   m_ejections = isRepeated ? std::min(m_ejections + 1, kMaxDoublings) : 0;
   const double factor =
     static_cast<double>(1U << m_ejections) * (1 + kEjectionJitter * aJitter);
+  m_ejectedSince = aNow;
   m_ejectedUntil = aNow + Scale(kBaseEjectionTime, factor);
+  m_probeInterval = kProbeInterval;
+  m_nextProbe = aNow + m_probeInterval;
+  m_answeredProbes = 0;
   StartRamp(m_ejectedUntil);
   m_consecutiveFailures = 0;
 }
@@ -133,6 +144,22 @@
   return std::max(kMinRampShare, grown);
 }
 
+/* The rest of an ejection is capacity that the service lacks once the host is
+   back. */
+void
+HostHealth::RecordProbe(bool aIsAnswered, Instant aNow)
+{
+  m_answeredProbes = aIsAnswered ? m_answeredProbes + 1 : 0;
+  m_probeInterval = aIsAnswered
+                      ? kProbeInterval
+                      : std::min(2 * m_probeInterval, kMaxProbeInterval);
+  if (m_answeredProbes >= kNeededProbes) {
+    m_ejectedUntil = aNow;
+    m_failure = 0;
+    StartRamp(aNow - Scale(kRampTime, kProbedRampShare));
+  }
+}
+
 /* Without a limit the share grows back step by step, so that the host is not
    flooded when its limit ends. */
 void
--- a/modules/cr_routing/health/cr_HostHealth.h
+++ b/modules/cr_routing/health/cr_HostHealth.h
@@ -21,6 +21,10 @@
   /** Time in which a host's share grows to its full value after a cold start or
       an ejection. */
   static constexpr Duration kRampTime = Seconds(10);
+  /** Time between probes of an ejected host; doubles with each probe that
+     fails, up to kMaxProbeInterval. */
+  static constexpr Duration kProbeInterval = Milliseconds(300);
+  static constexpr Duration kMaxProbeInterval = Milliseconds(1200);
 
   //==========================================================================
   /** Records the result of an attempt; aBaseline is the service's baseline
@@ -32,13 +36,28 @@
 
   /** Ejects the host for a time that doubles with each ejection shortly after
       another. aJitter in [0, 1) varies the time, so that the nodes do not use
-      the host again all at once. */
+      the host again all at once. The ejection ends early when several probes in
+      a row are answered. */
   void Eject(double aJitter, Instant aNow);
 
+  /** Records that an attempt is sent to the ejected host as a probe (the
+      half-open state of a circuit breaker; Nygard, 2007).
+      @pre IsProbeDue(aNow) */
+  void BeginProbe(Instant aNow) { m_nextProbe = aNow + m_probeInterval; }
+
   //==========================================================================
+  /** Returns the time at which the latest ejection ends at the latest. */
+  Instant EjectedUntil() const { return m_ejectedUntil; }
+
   /** Returns whether the host is ejected. */
   bool IsEjected(Instant aNow) const { return aNow < m_ejectedUntil; }
 
+  /** Returns whether the host is ejected and an attempt may probe it. */
+  bool IsProbeDue(Instant aNow) const
+  {
+    return IsEjected(aNow) && aNow >= m_nextProbe;
+  }
+
   /** Returns whether the host fails often enough to be ejected. */
   bool IsFailing(Instant aNow) const;
 
@@ -63,6 +82,7 @@
   double LimitShare() const { return m_limitShare; }
 
 private:
+  void RecordProbe(bool aIsAnswered, Instant aNow);
   void UpdateLimitShare(std::optional<double> aRateLoad, Instant aNow);
   double Weight(Instant aNow) const;
 
@@ -75,7 +95,11 @@
   Instant m_levelReceived = Instant::min();
   Instant m_lastReport;
   std::uint32_t m_ejections = 0;
+  Instant m_ejectedSince = Instant::min();
   Instant m_ejectedUntil = Instant::min();
+  Instant m_nextProbe = Instant::min();
+  Duration m_probeInterval = kProbeInterval;
+  std::uint32_t m_answeredProbes = 0;
   Instant m_rampStart = Instant::min();
   double m_limitShare = 1;
   Instant m_nextLimitStep = Instant::min();
--- a/modules/cr_routing/router/cr_Router.cpp
+++ b/modules/cr_routing/router/cr_Router.cpp
@@ -16,6 +16,10 @@
 constexpr double kBaselineIncreaseWeight = 0.005;
 /* An outlier's failure share exceeds this multiple of the other hosts' mean. */
 constexpr double kOutlierRatio = 2;
+/* Max share of the attempts that are probes of ejected hosts. Each of many
+   nodes with few requests would else send a large part of them to a failing
+   host. */
+constexpr double kMaxProbeShare = 0.02;
 
 /* The latency up to which a near host is preferred to a farther one with the
    given latency. */
@@ -61,9 +65,17 @@
 }
 
 std::optional<RouteTarget>
-Router::Choose(Rank aRank, std::span<const HostName> aExcluded, Instant aNow)
+Router::Choose(Rank aRank,
+               std::span<const HostName> aExcluded,
+               Instant aNow,
+               bool aMayBeRepeated)
 {
-  Entry* chosen = ChooseHost({ aRank, aExcluded, aNow });
+  const Request request{ aRank, aExcluded, aNow };
+  m_probeCredit = std::min(1.0, m_probeCredit + kMaxProbeShare);
+  Entry* chosen = aMayBeRepeated ? ChooseProbe(request) : nullptr;
+  if (chosen == nullptr) {
+    chosen = ChooseHost(request);
+  }
   if (chosen == nullptr) {
     return std::nullopt;
   }
@@ -149,6 +161,26 @@
   m_otherRegions = { region, counts.at(2) };
 }
 
+/* Returns an ejected host to which a probe is due; null if there is none. */
+Router::Entry*
+Router::ChooseProbe(const Request& aRequest)
+{
+  if (aRequest.m_now >= m_ejectionsUntil || m_probeCredit < 1) {
+    return nullptr;
+  }
+  const auto due =
+    std::find_if(m_entries.begin(), m_entries.end(), [&](const Entry& aEntry) {
+      return aEntry.m_health.IsProbeDue(aRequest.m_now) &&
+             !IsExcluded(aEntry, aRequest);
+    });
+  if (due == m_entries.end()) {
+    return nullptr;
+  }
+  m_probeCredit -= 1;
+  due->m_health.BeginProbe(aRequest.m_now);
+  return &*due;
+}
+
 Router::Entry*
 Router::ChooseHost(const Request& aRequest)
 {
@@ -350,6 +382,8 @@
   const double mean = othersFailure / static_cast<double>(m_entries.size() - 1);
   if (aEntry.m_health.FailureShare(aNow) > kOutlierRatio * mean) {
     aEntry.m_health.Eject(m_random.NextDouble(), aNow);
+    m_ejectionsUntil =
+      std::max(m_ejectionsUntil, aEntry.m_health.EjectedUntil());
   }
 }
 
--- a/modules/cr_routing/router/cr_Router.h
+++ b/modules/cr_routing/router/cr_Router.h
@@ -40,10 +40,12 @@
 
   /** Chooses a host that is not excluded and counts the attempt as in flight.
       Hosts whose admission level is above the rank are chosen only when no
-      other is found. Returns nothing when all hosts are excluded. */
+      other is found. Returns nothing when all hosts are excluded. An attempt
+      that may be repeated may be sent to an ejected host as a probe. */
   std::optional<RouteTarget> Choose(Rank aRank,
                                     std::span<const HostName> aExcluded,
-                                    Instant aNow);
+                                    Instant aNow,
+                                    bool aMayBeRepeated = false);
 
   /** Records the result of an attempt on the host. */
   void Report(const HostName& aHost,
@@ -88,6 +90,7 @@
   };
 
   void RebuildIndex();
+  Entry* ChooseProbe(const Request& aRequest);
   Entry* ChooseHost(const Request& aRequest);
   bool DrawLimitShare(const Entry& aEntry);
   Entry* ChooseInGroup(const Group& aGroup, const Request& aRequest);
@@ -120,6 +123,10 @@
   Group m_otherRegions;
   std::unordered_map<HostName, std::size_t> m_index;
   double m_baselineLatencyUs = 0;
+  /* Probes that may be sent; a fraction until it reaches 1. */
+  double m_probeCredit = 0;
+  /* No host is ejected from then on. */
+  Instant m_ejectionsUntil = Instant::min();
 };
 
 }
--- a/modules/cr_routing/tests/cr_RouterTest.cpp
+++ b/modules/cr_routing/tests/cr_RouterTest.cpp
@@ -68,7 +68,7 @@
     while (m_now < end) {
       m_now += Milliseconds(1);
       Deliver();
-      const auto target = m_router.Choose(kRank, {}, m_now);
+      const auto target = m_router.Choose(kRank, {}, m_now, m_mayBeRepeated);
       ++sent[target->m_host];
       const AttemptResult result = m_hosts.at(target->m_host)(m_now);
       m_ends.emplace(m_now + result.m_latency,
@@ -81,6 +81,7 @@
   Router m_router;
   Instant m_now = Instant(Seconds(100));
   std::size_t m_maxEjected = 0;
+  bool m_mayBeRepeated = false;
 
 private:
   void Deliver()
@@ -179,6 +180,62 @@
   EXPECT_GT(share, 10000 / 4 / 2);
 }
 
+/* Incident SHORT: a host that had been down and up by turns for 7 s was ejected
+   for 16 s more, while the others had too much work. */
+TEST(Router, HostThatHasStoppedFlappingIsUsedAgainWithinSeconds)
+{
+  Traffic traffic;
+  traffic.m_mayBeRepeated = true;
+  const Instant start = traffic.m_now;
+  const Instant settled = start + Seconds(7);
+  for (int number = 0; number < 4; ++number) {
+    traffic.SetHost(MakeTarget(number), [=](Instant aNow) {
+      const bool isDown =
+        (aNow - start) / Milliseconds(900) % 2 == 1 && aNow < settled;
+      return number == 0 && isDown ? FailsFast(aNow) : Healthy(aNow);
+    });
+  }
+  const int whileFlapping = traffic.RunFor(Seconds(7))["host-0"];
+  EXPECT_LT(whileFlapping, 7000 / 4);
+  traffic.RunFor(Seconds(3));
+  EXPECT_GT(traffic.RunFor(Seconds(3))["host-0"], 3000 / 4 / 2);
+}
+
+/* A probe may fail, so it must be harmless to repeat it. */
+TEST(Router, OnlyAttemptsThatMayBeRepeatedProbeEjectedHosts)
+{
+  for (const bool mayBeRepeated : { false, true }) {
+    Traffic traffic;
+    traffic.m_mayBeRepeated = mayBeRepeated;
+    for (int number = 0; number < 4; ++number) {
+      traffic.SetHost(MakeTarget(number), number == 0 ? FailsFast : Healthy);
+    }
+    traffic.RunFor(Seconds(1));
+    const int probes = traffic.RunFor(Seconds(3))["host-0"];
+    EXPECT_LE(probes, mayBeRepeated ? 5 : 0);
+    EXPECT_GE(probes, mayBeRepeated ? 2 : 0);
+  }
+}
+
+/* Seventeen nodes with few requests each probed so often that a tenth of all
+   requests went to a failing host. */
+TEST(Router, ProbesAreASmallShareOfFewAttempts)
+{
+  Router router(Locality(), kSeed, {});
+  router.Update(MakeTargets(4), {});
+  Instant now(Seconds(100));
+  int probes = 0;
+  for (int attempt = 0; attempt < 1000; ++attempt) {
+    now += Milliseconds(250);
+    const auto target = router.Choose(kRank, {}, now, true);
+    const bool isFailing = target->m_host == "host-0";
+    probes += isFailing && router.Ejected(now) > 0 ? 1 : 0;
+    router.Report(
+      target->m_host, { !isFailing, false, Milliseconds(2), 0, false }, now);
+  }
+  EXPECT_LE(probes, 1000 / 50);
+}
+
 TEST(Router, NewIncarnationRampsUp)
 {
   Traffic traffic;
