Failed child calls are retried under load

What callers saw: requests that failed with 500 after most of their work. Cause: from a path load of 1 on nothing is run again. For a customer's request that saves work; for one of the eight calls of an order it loses the other seven.

A child call may be run again up to a path load of 2, within the same retry budget, and only if it may be repeated. RelayEntryFlow.FailedChildCallIsRetriedUnderLoad fails before.

--- a/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
@@ -29,8 +29,10 @@
 /* A host that refused a connection is skipped for this time while there are
    other hosts. */
 constexpr Duration kUnreachableHostPause = Seconds(1);
-/* A failed request is not run again from this path load on. */
+/* A failed request is not run again from this path load on; a child call is,
+   because the request that makes it would be lost with all its other calls. */
 constexpr double kMaxRetryLoad = 1.0;
+constexpr double kMaxChildCallRetryLoad = 2.0;
 /* A refused customer retries after at least this fraction of the objective,
    plus a random part of the spread, but never after more than a third of its
    remaining time, so that time for the retry is left. */
@@ -425,7 +427,8 @@
   const bool mayRunAgain = aCall.m_route->m_idempotent || aCall.m_runs == 0;
   return mayRunAgain && aReport.m_reason != Reason::DeadlineTooShort &&
          aCall.m_runs < aCall.m_route->m_attempts &&
-         aReport.m_pathLoad < kMaxRetryLoad &&
+         aReport.m_pathLoad < (aCall.m_isChildCall ? kMaxChildCallRetryLoad
+                                                   : kMaxRetryLoad) &&
          m_budget.TryConsumeRetry(aCall.m_service, aNow);
 }
 
--- a/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
@@ -304,6 +304,26 @@
   EXPECT_EQ(node.TakeRefusalStatus(), kNotFound);
 }
 
+/* Incident SHORT: a child call that failed under load cost the request that
+   made it, with all its other calls. */
+TEST(RelayEntryFlow, FailedChildCallIsRetriedUnderLoad)
+{
+  Entry node;
+  RelayReport called = kCompleted;
+  called.m_isCalledRoute = true;
+  const CallId before = node.Request("/status/8");
+  node.TakeForwardHost();
+  node.Answer(before, called);
+  RelayReport broken = kBroken;
+  broken.m_isCalledRoute = true;
+  broken.m_pathLoad = 1.3;
+  const CallId call = node.Request("/status/9");
+  const std::string first = node.TakeForwardHost();
+  node.Answer(call, broken);
+  EXPECT_NE(node.TakeForwardHost(), first);
+  EXPECT_TRUE(node.TakeActions<RefuseRequest>().empty());
+}
+
 /* As on day scale-1: customers send 5000 ms, of which 1 ms sometimes passes on
    the way, and refused customers retry with less time left. Only the latter may
    count as returning. */
