One share of the work at a bottleneck is divided among routes

Cause: all routes of an entry answered to the load of the same service, each with a share and, by priority, a target of its own (1.4, 1.3, 0.95). While orders were regulated at all, the load stayed above the other targets, so their shares fell to the least, however little of the service they needed; and at a load of 1.4 each of eight calls waited, so many requests ended at their timeout after all their work. The class: several regulators on one quantity.

Answers name the most loaded service on the way and the work there per request. An entry regulates one share of that work and gives it to routes in the order of work per request times 2^priority. Averages, not single windows, decide on routes; a rise of the demand takes effect at once. A route that is admitted whole does not lower its bound in flight.

In the tests of returning customers and of paths without calls the loads are given relative to the new target.

--- a/modules/cr_admission/share/cr_AdmittedShare.cpp
+++ b/modules/cr_admission/share/cr_AdmittedShare.cpp
@@ -33,8 +33,8 @@
 constexpr double kNoReportIncrease = 1.02;
 /* A few requests are always admitted, because only they report the load. */
 constexpr double kMinShare = 0.02;
-/* Weight of a new request in the mean share of returning customers. */
-constexpr double kReturningWeight = 0.02;
+/* Capacity beyond the demand that is assumed at most, as a multiple of it. */
+constexpr double kMaxShare = 4;
 
 }
 
@@ -48,26 +48,10 @@
 }
 
 bool
-AdmittedShare::Admit(const ShareRequest& aRequest, Instant aNow)
-{
-  Advance(aNow);
-  m_returning +=
-    kReturningWeight * ((aRequest.m_isReturning ? 1 : 0) - m_returning);
-  if (m_share >= 1) {
-    return true;
-  }
-  if (aRequest.m_isReturning) {
-    return aRequest.m_uniform * m_returning < m_share;
-  }
-  const double left = std::max(0.0, m_share - m_returning);
-  return aRequest.m_uniform * (1 - m_returning) < left;
-}
-
-void
 AdmittedShare::Advance(Instant aNow)
 {
   if (aNow < m_intervalEnd) {
-    return;
+    return false;
   }
   m_intervalEnd = aNow + kInterval;
   double desired = m_share * kNoReportIncrease;
@@ -77,19 +61,20 @@
                                                     kLatencyLagTenths / 10,
                                   kMaxLag);
     const double earlierShare = load < kLowLoad * m_target
-                                  ? std::max(m_share, ShareAt(aNow - lag))
+                                  ? std::max(Share(), ShareAt(aNow - lag))
                                   : ShareAt(aNow - lag);
     desired = earlierShare * std::pow(m_target / load, kDamping);
   }
   desired = std::clamp(desired, m_share * kMaxDecrease, m_share * kMaxIncrease);
-  m_share = std::clamp(desired, kMinShare, 1.0);
+  m_share = std::clamp(desired, kMinShare, kMaxShare);
   m_loadSum = 0;
   m_latencySum = Duration::zero();
   m_loadCount = 0;
-  m_steps.push_back({ aNow, m_share });
+  m_steps.push_back({ aNow, Share() });
   if (m_steps.size() > kStepLimit) {
     m_steps.pop_front();
   }
+  return true;
 }
 
 double
@@ -102,7 +87,7 @@
   if (step != m_steps.rend()) {
     return step->m_share;
   }
-  return m_steps.empty() ? m_share : m_steps.front().m_share;
+  return m_steps.empty() ? Share() : m_steps.front().m_share;
 }
 
 }
--- a/modules/cr_admission/share/cr_AdmittedShare.h
+++ b/modules/cr_admission/share/cr_AdmittedShare.h
@@ -1,30 +1,21 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
 
 #include "cr_core/cr_core.h"
 
 namespace cr {
 
-/** The properties of a customer's request that AdmittedShare uses. */
-struct ShareRequest
-{
-  /** The customer was refused before and retries. */
-  bool m_isReturning = false;
-  /** A uniform random number in [0, 1). */
-  double m_uniform = 0;
-};
-
-/** The share of a route's requests that a node admits, so that the busiest
-    backend server on their path is fully used and no work of the services above
-    it is wasted.
+/** The share of the demand for a backend service that a node admits, so that
+   the busiest backend server on their path is fully used and no work of the
+   services above it is wasted.
 
     A reported load is the effect of an earlier share: requests take time to
     reach the busiest server, its load is a mean, and the report takes time to
     return. So at fixed intervals the new share is that earlier share times
     (target / load), damped (the idea of the Smith predictor, 1957). Computing
-    the step from the current share would oscillate. Returning customers are
-    admitted first; new ones get the rest. Not thread safe. */
+    the step from the current share would oscillate. Not thread safe. */
 class AdmittedShare
 {
 public:
@@ -34,19 +25,21 @@
   {
   }
 
-  /** Changes the target load. */
-  void SetTarget(double aTarget) { m_target = aTarget; }
-
   /** Records the maximum load on the path of a request, and the time from the
       request's arrival to its answer. @see OfferedLoad */
   void RecordLoad(double aLoad, Duration aLatency, Instant aNow);
 
-  /** Returns whether the request is admitted, and counts it. */
-  bool Admit(const ShareRequest& aRequest, Instant aNow);
+  /** Updates the share if an interval has ended, and returns whether one has.
+   */
+  bool Advance(Instant aNow);
 
   //==========================================================================
-  /** Returns the admitted share of all requests, in (0, 1]. */
-  double Share() const { return m_share; }
+  /** Returns the admitted share of the demand, in (0, 1]. */
+  double Share() const { return std::min(m_share, 1.0); }
+
+  /** Returns the work that may be admitted relative to the demand; above 1 if
+      there is capacity for more. */
+  double Capacity() const { return m_share; }
 
 private:
   /* A share and the time since when it is active. */
@@ -56,7 +49,6 @@
     double m_share = 1;
   };
 
-  void Advance(Instant aNow);
   double ShareAt(Instant aTime) const;
 
   double m_target;
@@ -66,8 +58,6 @@
   Duration m_latencySum = Duration::zero();
   int m_loadCount = 0;
   Instant m_intervalEnd;
-  /* Mean share of the requests that come from returning customers. */
-  double m_returning = 0;
 };
 
 }
--- a/modules/cr_admission/share/cr_OfferedLoad.cpp
+++ b/modules/cr_admission/share/cr_OfferedLoad.cpp
@@ -48,6 +48,13 @@
          aLimit;
 }
 
+Duration
+OfferedLoad::MeanTime(const std::string& aKind) const
+{
+  const auto time = m_times.find(aKind);
+  return time != m_times.end() ? FromSeconds(time->second) : Duration::zero();
+}
+
 double
 OfferedLoad::Decayed(Instant aNow) const
 {
--- a/modules/cr_admission/share/cr_OfferedLoad.h
+++ b/modules/cr_admission/share/cr_OfferedLoad.h
@@ -38,6 +38,10 @@
       server. Precondition: aLimit is greater than 0. */
   double Load(std::uint32_t aLimit, std::size_t aWaiting, Instant aNow) const;
 
+  /** Returns the mean time in the server of a call of the kind; zero if none
+     was recorded. */
+  Duration MeanTime(const std::string& aKind) const;
+
 private:
   double Decayed(Instant aNow) const;
 
--- a/modules/cr_admission/tests/cr_InFlightBoundTest.cpp
+++ b/modules/cr_admission/tests/cr_InFlightBoundTest.cpp
@@ -65,6 +65,7 @@
     : m_random(aSeed)
     , m_isBounded(aIsBounded)
     , m_shares(kNodes, AdmittedShare(kTarget))
+    , m_selections(kNodes)
     , m_bounds(kNodes)
   {
   }
@@ -107,7 +108,9 @@
   {
     ++m_sent;
     const std::size_t node = m_random.NextBelow(kNodes);
-    if (!m_shares.at(node).Admit({ false, m_random.NextDouble() }, m_now) ||
+    m_shares.at(node).Advance(m_now);
+    if (!m_selections.at(node).Admit(m_shares.at(node).Share(),
+                                     { false, m_random.NextDouble() }) ||
         (m_isBounded && !m_bounds.at(node).HasCapacity())) {
       return;
     }
@@ -153,6 +156,7 @@
   Random m_random;
   bool m_isBounded;
   std::vector<AdmittedShare> m_shares;
+  std::vector<ReturningFirst> m_selections;
   std::vector<InFlightBound> m_bounds;
   OfferedLoad m_load;
   Instant m_now{ Seconds(100) };
--- a/modules/cr_admission/tests/cr_ShareTest.cpp
+++ b/modules/cr_admission/tests/cr_ShareTest.cpp
@@ -211,6 +211,7 @@
   explicit Bottleneck(std::uint64_t aSeed)
     : m_random(aSeed)
     , m_shares(kNodes, AdmittedShare(kTarget))
+    , m_selections(kNodes)
   {
     m_load.RecordTime("order", kTime);
   }
@@ -278,9 +279,11 @@
 
   void SendRequest(bool aIsReturning)
   {
-    AdmittedShare& share = m_shares.at(m_random.NextBelow(kNodes));
-    const bool isAdmitted =
-      share.Admit({ aIsReturning, m_random.NextDouble() }, m_now);
+    const std::size_t node = m_random.NextBelow(kNodes);
+    AdmittedShare& share = m_shares.at(node);
+    share.Advance(m_now);
+    const bool isAdmitted = m_selections.at(node).Admit(
+      share.Share(), { aIsReturning, m_random.NextDouble() });
     (aIsReturning ? m_retries : m_newRequests) += 1;
     if (isAdmitted) {
       (aIsReturning ? m_retriesAdmitted : m_newAdmitted) += 1;
@@ -305,6 +308,7 @@
 
   Random m_random;
   std::vector<AdmittedShare> m_shares;
+  std::vector<ReturningFirst> m_selections;
   OfferedLoad m_load;
   Instant m_now;
   double m_due = 0;
--- a/modules/cr_relay/event/cr_RelayTypes.h
+++ b/modules/cr_relay/event/cr_RelayTypes.h
@@ -80,6 +80,11 @@
   /** Max load of all gates on the path of the request, this gate included; its
       rate limit is not, as other hosts of the service may have none. */
   double m_pathLoad = 0;
+  /** Service of the gate with m_pathLoad. */
+  std::string m_bottleneck{};
+  /** Estimated time that a request of the route takes in slots of that service,
+      its child calls included. */
+  Duration m_pathWork = Duration::zero();
   /** Generation of the configuration that is active at the answering node. */
   Generation m_generation = 0;
   /** Set if the gate's backend server has a rate limit or is leaving. */
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t kMaxForwards = 6;
 /* Max number of routes with admission state. */
 constexpr std::size_t kMaxAdmissions = 8192;
+/* Max number of services that limit requests and are tracked. */
+constexpr std::size_t kMaxBottlenecks = 1024;
 /* Max number of times that a request is forwarded if gates refuse it because of
    rate limits. */
 constexpr std::size_t kMaxRateLimitedForwards = 3;
@@ -225,7 +227,20 @@
     m_admissions.clear();
   }
   return m_admissions[name].Admit(
-    *aCall.m_route, aEvent.m_callerTimeout, m_random.NextDouble(), aNow);
+    aEvent.m_callerTimeout, AdmittedShareOf(name, aNow), m_random.NextDouble());
+}
+
+/* Counts a request of the route and returns the share that all services on its
+   path can take. */
+double
+RelayEntryFlow::AdmittedShareOf(const std::string& aRoute, Instant aNow)
+{
+  double share = 1;
+  for (auto& [service, shares] : m_bottlenecks) {
+    shares.CountArrival(aRoute, aNow);
+    share = std::min(share, shares.ShareOf(aRoute, aNow));
+  }
+  return share;
 }
 
 /* Logs what was decided on the requests of each route that had some. */
@@ -337,13 +352,13 @@
         excluded.push_back(host);
       }
     }
-    if (auto target = aRouter.Choose(
-          rank, excluded, aNow, aCall.m_route->m_idempotent)) {
+    if (auto target =
+          aRouter.Choose(rank, excluded, aNow, aCall.m_route->m_idempotent)) {
       return target;
     }
   }
-  auto target = aRouter.Choose(
-    rank, aCall.m_triedHosts, aNow, aCall.m_route->m_idempotent);
+  auto target =
+    aRouter.Choose(rank, aCall.m_triedHosts, aNow, aCall.m_route->m_idempotent);
   // Servers that refuse only some requests may accept this one next time.
   return !target && aCall.m_lastReason == Reason::ServerFailed
            ? aRouter.Choose(rank, {}, aNow)
@@ -427,8 +442,8 @@
   const bool mayRunAgain = aCall.m_route->m_idempotent || aCall.m_runs == 0;
   return mayRunAgain && aReport.m_reason != Reason::DeadlineTooShort &&
          aCall.m_runs < aCall.m_route->m_attempts &&
-         aReport.m_pathLoad < (aCall.m_isChildCall ? kMaxChildCallRetryLoad
-                                                   : kMaxRetryLoad) &&
+         aReport.m_pathLoad <
+           (aCall.m_isChildCall ? kMaxChildCallRetryLoad : kMaxRetryLoad) &&
          m_budget.TryConsumeRetry(aCall.m_service, aNow);
 }
 
@@ -452,13 +467,47 @@
     return;
   }
   const double load = std::max(aReport.m_gateLoad, aReport.m_pathLoad);
+  const std::string& bottleneck =
+    isRateTheBottleneck ? aCall.m_service : aReport.m_bottleneck;
   if (aCall.m_isChildCall) {
     if (load > 0) {
-      m_shared.m_pathLoads[name].Record(load, aNow);
+      ChildCallPath& path = m_shared.m_childCallPaths[name];
+      path.m_load.Record(load, aNow);
+      path.m_bottleneck = bottleneck;
+      path.m_work = aReport.m_pathWork;
     }
-  } else if (RouteAdmission* admission = FindAdmission(aCall)) {
-    admission->RecordLoad(*aCall.m_route, load, aNow - aCall.m_arrived, aNow);
+    return;
+  }
+  bool isSpared = false;
+  // A path load of 0 means that none was reported; the share would rise.
+  if (load > 0 && FindOrAddBottleneck(bottleneck, aNow)) {
+    BottleneckShares& shares = m_bottlenecks.at(bottleneck);
+    shares.RecordReport(name,
+                        { load,
+                          aReport.m_pathWork,
+                          aNow - aCall.m_arrived,
+                          aCall.m_route->m_priority },
+                        aNow);
+    isSpared = shares.TotalShare() < 1 && shares.ShareOf(name, aNow) >= 1;
+  }
+  if (RouteAdmission* admission = FindAdmission(aCall)) {
+    // Other routes give way for a route that is admitted whole.
+    admission->RecordLoad(isSpared ? std::min(load, kTargetLoad) : load, aNow);
+  }
+}
+
+/* Returns false if too many services are in use. */
+bool
+RelayEntryFlow::FindOrAddBottleneck(const std::string& aService, Instant aNow)
+{
+  if (m_bottlenecks.contains(aService)) {
+    return true;
   }
+  std::erase_if(m_bottlenecks, [&](const auto& aShares) {
+    return aShares.second.IsUnused(aNow);
+  });
+  return m_bottlenecks.size() < kMaxBottlenecks &&
+         m_bottlenecks.try_emplace(aService, kTargetLoad).second;
 }
 
 /* Requests above the rate limit of one host fit at such a host. */
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.h
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -80,6 +81,7 @@
                        const Call& aCall,
                        Instant aNow);
   void ReportAdmissions(Instant aNow, RelayActions& aActions);
+  double AdmittedShareOf(const std::string& aRoute, Instant aNow);
   RouteAdmission* FindAdmission(const Call& aCall);
   std::optional<RouteTarget> ChooseTarget(const Call& aCall,
                                           Router& aRouter,
@@ -95,6 +97,7 @@
                           const RelayReport& aReport,
                           Instant aNow);
   void RecordLoad(const Call& aCall, const RelayReport& aReport, Instant aNow);
+  bool FindOrAddBottleneck(const std::string& aService, Instant aNow);
   bool HasUnrestrictedHost(const std::string& aService, Instant aNow) const;
   void RecordServer(const HostName& aHost, const RelayReport& aReport);
   void ReportAttempt(Call& aCall, const AttemptResult& aResult, Instant aNow);
@@ -113,6 +116,8 @@
   RetryBudget m_budget;
   std::unordered_map<CallId, Call> m_calls;
   std::unordered_map<std::string, RouteAdmission> m_admissions;
+  /* By the service that limits requests. */
+  std::map<std::string, BottleneckShares, std::less<>> m_bottlenecks;
   Instant m_nextAdmissionReport;
 };
 
--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -288,6 +288,20 @@
          Server().m_slots > 0;
 }
 
+/* Returns the most loaded service on the path of the route's requests, the
+   host's own included. */
+PathBottleneck
+RelayGateFlow::FindBottleneck(const std::string& aRoute, Instant aNow) const
+{
+  PathBottleneck downstream = m_shared.DownstreamBottleneck(aRoute, aNow);
+  const double own = SlotLoad(aNow);
+  return downstream.m_load > own
+           ? downstream
+           : PathBottleneck{ m_shared.m_settings.m_service,
+                             own,
+                             m_load.MeanTime(aRoute) };
+}
+
 /* Logs what was decided on calls since the last report. */
 void
 RelayGateFlow::ReportQueue(Instant aNow, RelayActions& aActions)
@@ -369,9 +383,11 @@
 {
   const auto call = m_calls.find(aCall);
   aReport.m_gateLoad = Load(aNow);
-  aReport.m_pathLoad =
-    std::max(SlotLoad(aNow),
-             m_shared.DownstreamLoad(call->second.m_header.m_route, aNow));
+  PathBottleneck bottleneck =
+    FindBottleneck(call->second.m_header.m_route, aNow);
+  aReport.m_pathLoad = bottleneck.m_load;
+  aReport.m_bottleneck = std::move(bottleneck.m_service);
+  aReport.m_pathWork = bottleneck.m_work;
   aReport.m_generation = m_shared.m_routes.ActiveGeneration();
   aReport.m_server = MakeServerReport();
   aReport.m_isCalledRoute = m_origins.IsChildCallRoute(
--- a/modules/cr_relay/flow/cr_RelayGateFlow.h
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.h
@@ -102,6 +102,7 @@
   const RoutedService* FindServiceToCheck() const;
   void RequestHealthCheck(Instant aNow, RelayActions& aActions);
   bool IsOpen() const;
+  PathBottleneck FindBottleneck(const std::string& aRoute, Instant aNow) const;
   void ReportQueue(Instant aNow, RelayActions& aActions);
   double SlotLoad(Instant aNow) const;
   void ApplyDecisions(GateDecisions& aDecisions,
--- a/modules/cr_relay/flow/cr_RelayShared.h
+++ b/modules/cr_relay/flow/cr_RelayShared.h
@@ -20,6 +20,24 @@
   Instant m_lastFailure;
 };
 
+/** The most loaded service on the path of a request, as its gates report it. */
+struct PathBottleneck
+{
+  std::string m_service;
+  double m_load = 0;
+  /** Time that one request takes in slots of the service. */
+  Duration m_work = Duration::zero();
+};
+
+/** What the answers to child calls of a route report about their path. */
+struct ChildCallPath
+{
+  LoadAverage m_load;
+  /** Service and work of the latest report. */
+  std::string m_bottleneck;
+  Duration m_work = Duration::zero();
+};
+
 /** State that the flows of a relaying node share. Not thread safe. */
 struct RelayShared
 {
@@ -29,16 +47,18 @@
   {
   }
 
-  /** Returns the max path load of the child calls that the host's backend
-      server makes for requests of the route; 0 if there are none. */
-  double DownstreamLoad(const std::string& aRoute, Instant aNow) const;
+  /** Returns the most loaded service on the paths of the child calls that the
+      host's backend server makes for requests of the route; its load is 0 if
+      there are none. */
+  PathBottleneck DownstreamBottleneck(const std::string& aRoute,
+                                      Instant aNow) const;
 
   const RelaySettings m_settings;
   RouteHolder m_routes;
   FleetDirectory m_directory;
   std::map<std::string, Router, std::less<>> m_routers;
-  /** Reported path load of the child calls, by route. */
-  std::map<std::string, LoadAverage, std::less<>> m_pathLoads;
+  /** Reported paths of the child calls, by route. */
+  std::map<std::string, ChildCallPath, std::less<>> m_childCallPaths;
   /** Routes by which backend servers call each other, as gates report. */
   std::set<std::string, std::less<>> m_calledRoutes;
   /** Number of nodes by service. */
--- a/modules/cr_relay/flow/cr_RouteAdmission.cpp
+++ b/modules/cr_relay/flow/cr_RouteAdmission.cpp
@@ -1,15 +1,11 @@
 #include "cr_relay/flow/cr_RouteAdmission.h"
 
 #include <algorithm>
-#include <array>
 
 namespace cr {
 
 namespace {
 
-/* Target load of the admitted share by the priority of the route; 0 is the most
-   urgent and refused last. Higher priority numbers use the last entry. */
-constexpr std::array<double, 3> kShareTargets = { 1.4, 1.3, 0.95 };
 /* Caller timeouts that differ by up to 1/50 count as equal, because some time
    passes on the way. */
 constexpr int kTimeoutTolerance = 50;
@@ -18,13 +14,6 @@
 constexpr int kConfidenceGain = 2;
 constexpr int kMaxConfidence = 64;
 
-double
-TargetOf(const RouteDescription& aRoute)
-{
-  return kShareTargets.at(
-    std::min<std::size_t>(aRoute.m_priority, kShareTargets.size() - 1));
-}
-
 }
 
 std::string_view
@@ -42,14 +31,13 @@
 }
 
 AdmissionLimit
-RouteAdmission::Admit(const RouteDescription& aRoute,
-                      std::optional<Duration> aCallerTimeout,
-                      double aUnit,
-                      Instant aNow)
+RouteAdmission::Admit(std::optional<Duration> aCallerTimeout,
+                      double aShare,
+                      double aUnit)
 {
-  m_share.SetTarget(TargetOf(aRoute));
+  m_share = aShare;
   const bool isReturning = aCallerTimeout && IsReturning(*aCallerTimeout);
-  if (!m_share.Admit({ isReturning, aUnit }, aNow)) {
+  if (!m_selection.Admit(aShare, { isReturning, aUnit })) {
     ++m_counts.m_aboveShare;
     return AdmissionLimit::Share;
   }
@@ -63,18 +51,11 @@
 }
 
 void
-RouteAdmission::RecordLoad(const RouteDescription& aRoute,
-                           double aLoad,
-                           Duration aLatency,
-                           Instant aNow)
+RouteAdmission::RecordLoad(double aLoad, Instant aNow)
 {
   m_counts.m_loadSum += aLoad;
   ++m_counts.m_loads;
-  m_bound.RecordLoad(aLoad, TargetOf(aRoute), aNow);
-  // A path load of 0 means that none was reported; the share would rise.
-  if (aLoad > 0) {
-    m_share.RecordLoad(aLoad, aLatency, aNow);
-  }
+  m_bound.RecordLoad(aLoad, kTargetLoad, aNow);
 }
 
 //==============================================================================
--- a/modules/cr_relay/flow/cr_RouteAdmission.h
+++ b/modules/cr_relay/flow/cr_RouteAdmission.h
@@ -36,37 +36,36 @@
   std::uint32_t m_loads = 0;
 };
 
+/** Load at which the services on the path of customers' requests are kept. */
+inline constexpr double kTargetLoad = 1.0;
+
 /** Admission control for the requests of one route from customers: limits the
     share of admitted requests and the number in flight, and recognizes
     customers that retry after a refusal. Not thread safe.
-    @see AdmittedShare, InFlightBound */
+    @see BottleneckShares, InFlightBound */
 class RouteAdmission
 {
 public:
   /** Admits a request with the caller timeout, or returns the limit that
-      refuses it; End() must be called for an admitted one. aUnit is a random
-      number in [0, 1). */
-  AdmissionLimit Admit(const RouteDescription& aRoute,
-                       std::optional<Duration> aCallerTimeout,
-                       double aUnit,
-                       Instant aNow);
+      refuses it; End() must be called for an admitted one. aShare is the share
+      of the route's requests that is admitted, aUnit a random number in
+      [0, 1). */
+  AdmissionLimit Admit(std::optional<Duration> aCallerTimeout,
+                       double aShare,
+                       double aUnit);
 
   /** Releases an admitted request that has ended. */
   void End() { m_bound.End(); }
 
-  /** Records the max load on the path of an admitted request, and its
-      latency. */
-  void RecordLoad(const RouteDescription& aRoute,
-                  double aLoad,
-                  Duration aLatency,
-                  Instant aNow);
+  /** Records the max load on the path of an admitted request. */
+  void RecordLoad(double aLoad, Instant aNow);
 
   /** Returns the counts since the last call, and resets them. */
   AdmissionCounts TakeCounts() { return std::exchange(m_counts, {}); }
 
   //==========================================================================
-  /** Returns the share of the requests that is admitted. */
-  double Share() const { return m_share.Share(); }
+  /** Returns the share that was admitted at the latest request. */
+  double Share() const { return m_share; }
 
   /** Returns the limit of requests in flight. */
   double Bound() const { return m_bound.Bound(); }
@@ -77,7 +76,8 @@
 private:
   bool IsReturning(Duration aCallerTimeout);
 
-  AdmittedShare m_share{ 1 };
+  double m_share = 1;
+  ReturningFirst m_selection;
   InFlightBound m_bound;
   /* Caller timeout of most requests, and the confidence in it. */
   Duration m_typicalTimeout = Duration::zero();
--- a/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
@@ -304,6 +304,37 @@
   EXPECT_EQ(node.TakeRefusalStatus(), kNotFound);
 }
 
+/* Incident SHORT: the log did not tell which limit refused a request. */
+TEST(RelayEntryFlow, RefusalsNameTheLimitThatRefused)
+{
+  Entry node;
+  RelayReport overloaded = kCompleted;
+  overloaded.m_pathLoad = 4;
+  overloaded.m_bottleneck = "prices";
+  overloaded.m_pathWork = Milliseconds(300);
+  std::set<std::string_view> limits;
+  for (int round = 0; round < 1000; ++round) {
+    node.m_now += Milliseconds(4);
+    const CallId call = node.Request("/status/9");
+    // Every fifth request stays in flight.
+    if (round % 5 > 0) {
+      node.Answer(call, overloaded);
+    }
+    for (const auto& refusal : node.TakeActions<RefuseRequest>()) {
+      EXPECT_EQ(refusal.m_reason, Reason::Overloaded);
+      limits.insert(refusal.m_limit);
+    }
+    node.TakeActions<ForwardRequest>();
+  }
+  EXPECT_EQ(limits, (std::set<std::string_view>{ "share", "in-flight" }));
+  EXPECT_GE(node.CountLogLines("route-admission"), 3);
+  const CallId call = node.Request("/booking/9");
+  node.Answer(call, kGateFull);
+  const auto refusals = node.TakeActions<RefuseRequest>();
+  ASSERT_EQ(refusals.size(), 1U);
+  EXPECT_EQ(refusals[0].m_limit, "gate");
+}
+
 /* Incident SHORT: a child call that failed under load cost the request that
    made it, with all its other calls. */
 TEST(RelayEntryFlow, FailedChildCallIsRetriedUnderLoad)
@@ -331,7 +362,7 @@
 {
   Entry node;
   RelayReport overloaded = kCompleted;
-  overloaded.m_pathLoad = 2;
+  overloaded.m_pathLoad = 1.6;
   int refusedNew = 0;
   int refusedLate = 0;
   int refusedReturning = 0;
--- a/modules/cr_relay_server/protocol/cr_RelayCodec.cpp
+++ b/modules/cr_relay_server/protocol/cr_RelayCodec.cpp
@@ -305,7 +305,8 @@
 std::string
 EncodeRelayReport(const RelayReport& aReport)
 {
-  return fmt::format(";o={};y={};e={:d};h={:d};c={:d};l={};p={};g={}{}{}",
+  return fmt::format(";o={};y={};e={:d};h={:d};c={:d};l={};p={};z={};a={};g={}"
+                     "{}{}",
                      ToText(aReport.m_outcome),
                      ToText(aReport.m_reason),
                      aReport.m_isServerError,
@@ -313,6 +314,8 @@
                      aReport.m_isCalledRoute,
                      ToThousandths(aReport.m_gateLoad),
                      ToThousandths(aReport.m_pathLoad),
+                     QuoteJson(aReport.m_bottleneck),
+                     aReport.m_pathWork.count(),
                      aReport.m_generation,
                      EncodeSuspectParameter(aReport.m_suspect),
                      EncodeServerReport(aReport.m_server));
@@ -339,6 +342,13 @@
       reader.Read(aValue, report.m_gateLoad);
     } else if (aName == "p") {
       reader.Read(aValue, report.m_pathLoad);
+    } else if (aName == "z") {
+      // Nodes of earlier versions report neither this nor the work.
+      report.m_bottleneck = aValue;
+    } else if (aName == "a") {
+      std::optional<Duration::rep> work;
+      reader.ReadOptional(ParseNumber<Duration::rep>(aValue), work);
+      report.m_pathWork = Duration(work.value_or(0));
     } else if (aName == "g") {
       reader.Read(aValue, report.m_generation);
     } else if (aName == "x") {
--- a/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
@@ -34,12 +34,17 @@
   report.m_reason = Reason::Leaving;
   report.m_isCalledRoute = true;
   report.m_pathLoad = 1.25;
+  report.m_bottleneck = "pri\"ces;p=9";
+  report.m_pathWork = Milliseconds(41);
   const auto readReport = DecodeRelayReport(EncodeRelayReport(report));
   ASSERT_TRUE(readReport);
   EXPECT_EQ(readReport->m_outcome, Outcome::NotRun);
   EXPECT_EQ(readReport->m_reason, Reason::Leaving);
   EXPECT_TRUE(readReport->m_isCalledRoute);
   EXPECT_DOUBLE_EQ(readReport->m_pathLoad, 1.25);
+  EXPECT_EQ(readReport->m_bottleneck, report.m_bottleneck);
+  EXPECT_EQ(readReport->m_pathWork, report.m_pathWork);
+  EXPECT_TRUE(DecodeRelayReport(";o=not-run;y=none;e=0;h=0;c=0;l=1;p=1;g=1"));
   for (const char* text : { "",
                             "{}",
                             "[]",
@@ -51,6 +56,7 @@
                             ";s=a;r=b;t=1;w=1;u=0;b=0;i=0;g=1;n=\"a\";v=2",
                             ";o=unknown;y=none;e=0;h=0;c=0;l=1;p=1;g=1;n=\"a\"",
                             ";o=no;y=none;e=0;h=0;c=0;l=1;p=1;g=1",
+                            ";o=not-run;y=none;e=0;h=0;c=0;l=1;p=1;g=1;a=x",
                             ";s=\"a" }) {
     EXPECT_FALSE(DecodeRelayHeader(text)) << text;
     EXPECT_FALSE(DecodeRelayReport(text)) << text;
