The bound of requests in flight leaves small overloads to the share

What callers saw: orders refused although their share was near 1. It now acts from 1.5 of the target on, which a surge or a start exceeds.

InFlightBound's tests hold unchanged.

--- a/modules/cr_admission/share/cr_InFlightBound.cpp
+++ b/modules/cr_admission/share/cr_InFlightBound.cpp
@@ -13,7 +13,7 @@
    no effect while the admitted share is correct. */
 constexpr double kHeadroom = 3;
 /* Loads up to this multiple of the target are corrected by AdmittedShare. */
-constexpr double kOverloadRatio = 1.15;
+constexpr double kOverloadRatio = 1.5;
 /* Damping of a decrease, as an exponent of the load ratio. */
 constexpr double kDamping = 0.5;
 
