--- a/modules/cr_admission/tests/cr_BottleneckSharesTest.cpp
+++ b/modules/cr_admission/tests/cr_BottleneckSharesTest.cpp
@@ -40,7 +40,8 @@
       for (const Route& route : m_routes) {
         double& due = m_due[route.m_name];
         due += aDemand * route.m_perSecond / 1000;
-        for (; due >= 1; due -= 1) {
+        while (due >= 1) {
+          due -= 1;
           Arrive(route);
         }
       }
