--- a/modules/cr_admission/cr_admission.h
+++ b/modules/cr_admission/cr_admission.h
@@ -5,8 +5,8 @@
     the returned decisions.
 
     @see Gate, LevelTable, AttemptHistory; SlotQueue, RateLimit, OfferedLoad,
-    AdmittedShare, BottleneckShares, ReturningFirst, InFlightBound, CallPattern
- */
+    AdmittedShare, BottleneckShares, ReturningFirst, InFlightBound,
+    CallPattern */
 
 #include "cr_admission/gate/cr_Gate.h"
 #include "cr_admission/level/cr_LevelTable.h"
--- a/modules/cr_admission/share/cr_AdmittedShare.h
+++ b/modules/cr_admission/share/cr_AdmittedShare.h
@@ -8,8 +8,7 @@
 namespace cr {
 
 /** The share of the demand for a backend service that a node admits, so that
-   the busiest backend server on their path is fully used and no work of the
-   services above it is wasted.
+   the service is fully used and no work of the services that call it is wasted.
 
     A reported load is the effect of an earlier share: requests take time to
     reach the busiest server, its load is a mean, and the report takes time to
--- a/modules/cr_admission/share/cr_BottleneckShares.cpp
+++ b/modules/cr_admission/share/cr_BottleneckShares.cpp
@@ -17,7 +17,10 @@
 /* A route that has reported another service, or nothing, for this time no
    longer counts. */
 constexpr Duration kReportLifetime = Seconds(3);
+/* Weight of a new sample in the mean work per request. */
 constexpr double kWorkWeight = 0.05;
+/* Higher priority numbers are ranked like this one. */
+constexpr std::uint32_t kMaxRankedPriority = 16;
 /* Work per request that is assumed at least. */
 constexpr double kMinWorkSeconds = 0.001;
 /* A few requests of each route are always admitted, because only they report
@@ -25,7 +28,6 @@
 constexpr double kMinRouteShare = 0.02;
 /* Limit on the tracked routes; further ones are not regulated here. */
 constexpr std::size_t kRouteLimit = 4096;
-
 /* A present demand up to this multiple of that of the last seconds may be
    chance. */
 constexpr double kChanceRise = 1.25;
@@ -132,11 +134,9 @@
       Decayed(route.m_arrivals, aNow - route.m_arrivalsUpdated, kMixWindow);
     const double work =
       RateOf(arrivals, aNow - route.m_since, kMixWindow) * route.m_work;
-    demands.push_back({ std::ldexp(route.m_work,
-                                   static_cast<int>(std::min<std::uint32_t>(
-                                     route.m_priority, 16))),
-                        work,
-                        &route });
+    const auto priority =
+      static_cast<int>(std::min(route.m_priority, kMaxRankedPriority));
+    demands.push_back({ std::ldexp(route.m_work, priority), work, &route });
     total += work;
   }
   // The present demand relative to that of the last seconds, in which the share
--- a/modules/cr_admission/share/cr_BottleneckShares.h
+++ b/modules/cr_admission/share/cr_BottleneckShares.h
@@ -26,13 +26,13 @@
     backend service, at one node.
 
     One share of the demanded work is regulated by the load of the service
-    (AdmittedShare), falls at once when the demand rises, and is divided among
-    the routes in the order of their work
-    per request, doubled with each step of priority: what few requests cost is
-    given to many cheap or urgent ones first. If each route regulated itself by
-    the same load, a route would react to the load that others cause, and those
-    with the lower target would lose everything before the others lose
-    anything. Not thread safe. */
+    (AdmittedShare) and falls at once when the demand rises. It is divided among
+    the routes in the order of their work per request, doubled with each step of
+    priority: refusing one costly or less urgent request makes room for several
+    cheap or urgent ones. If each route had a share and a target of its own, it
+    would react to the load that the others cause, and the routes with the lower
+    target would lose everything before the others lose anything. Not thread
+    safe. */
 class BottleneckShares
 {
 public:
--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -127,6 +127,7 @@
       return tl::unexpected(listening.error());
     }
   }
+  m_processorReported = IoThreads::Now();
   m_log.Write("start",
               fmt::format("\"service\":\"{}\",\"peer\":\"{}\","
                           "\"governed\":{}",
