--- a/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
@@ -70,6 +70,16 @@
     return refusals.empty() ? 0 : refusals.front().m_status;
   }
 
+  /* The node learns that backend servers make the status requests. */
+  void ReportStatusAsCalledRoute()
+  {
+    RelayReport called = kCompleted;
+    called.m_isCalledRoute = true;
+    const CallId call = Request("/status/8");
+    TakeForwardHost();
+    Answer(call, called);
+  }
+
 private:
   void AdoptBookingNodes()
   {
@@ -190,11 +200,7 @@
 TEST(RelayEntryFlow, ChildCallIsRetriedAtOneMoreGate)
 {
   Entry node;
-  RelayReport called = kCompleted;
-  called.m_isCalledRoute = true;
-  const CallId before = node.Request("/status/8");
-  node.TakeForwardHost();
-  node.Answer(before, called);
+  node.ReportStatusAsCalledRoute();
   const CallId call = node.Request("/status/9");
   const std::string first = node.TakeForwardHost();
   node.Answer(call, kGateFull);
@@ -340,11 +346,7 @@
 TEST(RelayEntryFlow, FailedChildCallIsRetriedUnderLoad)
 {
   Entry node;
-  RelayReport called = kCompleted;
-  called.m_isCalledRoute = true;
-  const CallId before = node.Request("/status/8");
-  node.TakeForwardHost();
-  node.Answer(before, called);
+  node.ReportStatusAsCalledRoute();
   RelayReport broken = kBroken;
   broken.m_isCalledRoute = true;
   broken.m_pathLoad = 1.3;
