Sums with exponential decay are one class

DecayingSum and Route::IsOutdated serve all. Windows and values are unchanged; a call of a kind without a known time no longer touches the sum, which decays the same.

--- a/modules/cr_admission/share/cr_BottleneckShares.cpp
+++ b/modules/cr_admission/share/cr_BottleneckShares.cpp
@@ -8,15 +8,6 @@
 
 namespace {
 
-/* Time over which the demand of all routes together is averaged. */
-constexpr Duration kDemandWindow = Seconds(1);
-/* Time over which the demand of each route is averaged. Longer, as a route has
-   few requests at one node, and chance changes of its part would refuse urgent
-   requests. */
-constexpr Duration kMixWindow = Seconds(4);
-/* A route that has reported another service, or nothing, for this time no
-   longer counts. */
-constexpr Duration kReportLifetime = Seconds(3);
 /* Weight of a new sample in the mean work per request. */
 constexpr double kWorkWeight = 0.05;
 /* Higher priority numbers are ranked like this one. */
@@ -42,12 +33,6 @@
   return aSum / (ToSeconds(aWindow) * std::max(filled, minFilled));
 }
 
-double
-Decayed(double aValue, Duration aAge, Duration aWindow)
-{
-  return aValue * std::exp(-ToSeconds(aAge) / ToSeconds(aWindow));
-}
-
 }
 
 void
@@ -57,13 +42,8 @@
   if (route == m_routes.end()) {
     return;
   }
-  Route& found = route->second;
-  found.m_arrivals =
-    Decayed(found.m_arrivals, aNow - found.m_arrivalsUpdated, kMixWindow) + 1;
-  found.m_arrivalsUpdated = aNow;
-  m_demand =
-    Decayed(m_demand, aNow - m_demandUpdated, kDemandWindow) + found.m_work;
-  m_demandUpdated = aNow;
+  route->second.m_arrivals.Add(1, aNow);
+  m_demand.Add(route->second.m_work, aNow);
 }
 
 void
@@ -100,7 +80,7 @@
 BottleneckShares::IsUnused(Instant aNow) const
 {
   return std::all_of(m_routes.begin(), m_routes.end(), [&](const auto& aRoute) {
-    return aNow - aRoute.second.m_reported > kReportLifetime;
+    return aRoute.second.IsOutdated(aNow);
   });
 }
 
@@ -119,7 +99,7 @@
 BottleneckShares::Divide(Instant aNow)
 {
   std::erase_if(m_routes, [&](const auto& aRoute) {
-    return aNow - aRoute.second.m_reported > kReportLifetime;
+    return aRoute.second.IsOutdated(aNow);
   });
   struct Demand
   {
@@ -131,9 +111,8 @@
   double total = 0;
   for (auto& [name, route] : m_routes) {
     const double arrivals =
-      Decayed(route.m_arrivals, aNow - route.m_arrivalsUpdated, kMixWindow);
-    const double work =
-      RateOf(arrivals, aNow - route.m_since, kMixWindow) * route.m_work;
+      RateOf(route.m_arrivals.Value(aNow), aNow - route.m_since, kMixWindow);
+    const double work = arrivals * route.m_work;
     const auto priority =
       static_cast<int>(std::min(route.m_priority, kMaxRankedPriority));
     demands.push_back({ std::ldexp(route.m_work, priority), work, &route });
@@ -142,9 +121,7 @@
   // The present demand relative to that of the last seconds, in which the share
   // has settled.
   const double present =
-    RateOf(Decayed(m_demand, aNow - m_demandUpdated, kDemandWindow),
-           aNow - m_demandSince,
-           kDemandWindow);
+    RateOf(m_demand.Value(aNow), aNow - m_demandSince, kDemandWindow);
   const double rise =
     total > 0 ? std::max(1.0, present / total / kChanceRise) : 1;
   double left = std::min(1.0, m_total.Capacity() / rise) * total;
--- a/modules/cr_admission/share/cr_BottleneckShares.h
+++ b/modules/cr_admission/share/cr_BottleneckShares.h
@@ -2,9 +2,9 @@
 
 #include <map>
 #include <string>
-#include <string_view>
 
 #include "cr_admission/share/cr_AdmittedShare.h"
+#include "cr_admission/share/cr_DecayingSum.h"
 
 namespace cr {
 
@@ -62,11 +62,24 @@
   bool IsUnused(Instant aNow) const;
 
 private:
+  /* Time over which the demand of all routes together is averaged. */
+  static constexpr Duration kDemandWindow = Seconds(1);
+  /* Time over which the demand of each route is averaged. Longer, as a route
+     has few requests at one node, and chance changes of its part would refuse
+     urgent requests. */
+  static constexpr Duration kMixWindow = Seconds(4);
+  /* A route that has reported another service, or nothing, for this time no
+     longer counts. */
+  static constexpr Duration kReportLifetime = Seconds(3);
+
   struct Route
   {
-    /* Arrivals with exponential decay over the mix window. */
-    double m_arrivals = 0;
-    Instant m_arrivalsUpdated;
+    bool IsOutdated(Instant aNow) const
+    {
+      return aNow - m_reported > kReportLifetime;
+    }
+
+    DecayingSum m_arrivals{ kMixWindow };
     Instant m_since;
     /* Mean time in slots per request, in seconds. */
     double m_work = 0;
@@ -79,10 +92,8 @@
   void Divide(Instant aNow);
 
   AdmittedShare m_total;
-  /* Seconds of work that arrived, with exponential decay over the demand
-     window. */
-  double m_demand = 0;
-  Instant m_demandUpdated;
+  /* Seconds of work that arrived. */
+  DecayingSum m_demand{ kDemandWindow };
   Instant m_demandSince;
   std::map<std::string, Route, std::less<>> m_routes;
 };
--- a/modules/cr_admission/share/cr_OfferedLoad.cpp
+++ b/modules/cr_admission/share/cr_OfferedLoad.cpp
@@ -1,7 +1,5 @@
 #include "cr_admission/share/cr_OfferedLoad.h"
 
-#include <cmath>
-
 namespace cr {
 
 namespace {
@@ -16,11 +14,9 @@
 void
 OfferedLoad::CountArrival(const std::string& aKind, Instant aNow)
 {
-  m_work = Decayed(aNow);
-  m_workUpdated = aNow;
   const auto time = m_times.find(aKind);
   if (time != m_times.end()) {
-    m_work += time->second;
+    m_work.Add(time->second, aNow);
   }
 }
 
@@ -43,7 +39,7 @@
                   Instant aNow) const
 {
   const double waiting = m_meanTime * static_cast<double>(aWaiting);
-  return (Decayed(aNow) / ToSeconds(kWindow) +
+  return (m_work.Value(aNow) / ToSeconds(kWindow) +
           waiting / ToSeconds(kDrainTime)) /
          aLimit;
 }
@@ -55,11 +51,4 @@
   return time != m_times.end() ? FromSeconds(time->second) : Duration::zero();
 }
 
-double
-OfferedLoad::Decayed(Instant aNow) const
-{
-  return m_work *
-         std::exp(-ToSeconds(aNow - m_workUpdated) / ToSeconds(kWindow));
-}
-
 }
--- a/modules/cr_admission/share/cr_OfferedLoad.h
+++ b/modules/cr_admission/share/cr_OfferedLoad.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <unordered_map>
 
-#include "cr_core/cr_core.h"
+#include "cr_admission/share/cr_DecayingSum.h"
 
 namespace cr {
 
@@ -43,15 +43,12 @@
   Duration MeanTime(const std::string& aKind) const;
 
 private:
-  double Decayed(Instant aNow) const;
-
   /* Mean time in the server of all calls, in seconds. */
   double m_meanTime = 0;
   /* Mean time in the server by kind, in seconds. */
   std::unordered_map<std::string, double> m_times;
-  /* Seconds of work that arrived, with exponential decay over the window. */
-  double m_work = 0;
-  Instant m_workUpdated;
+  /* Seconds of work that arrived. */
+  DecayingSum m_work{ kWindow };
 };
 
 }
--- a/modules/cr_admission/slots/cr_RateLimit.cpp
+++ b/modules/cr_admission/slots/cr_RateLimit.cpp
@@ -1,7 +1,6 @@
 #include "cr_admission/slots/cr_RateLimit.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace cr {
 
@@ -9,7 +8,6 @@
 
 /* Requests that may be dispatched at once, as time at the limit. */
 constexpr Duration kBurstTime = Milliseconds(250);
-constexpr Duration kLoadWindow = Milliseconds(500);
 
 }
 
@@ -24,8 +22,7 @@
 void
 RateLimit::CountArrival(Instant aNow)
 {
-  m_arrivals = Arrivals(aNow) + 1;
-  m_arrivalsUpdated = aNow;
+  m_arrivals.Add(1, aNow);
 }
 
 void
@@ -61,7 +58,7 @@
 double
 RateLimit::Load(Instant aNow) const
 {
-  return IsSet() ? Arrivals(aNow) / ToSeconds(kLoadWindow) / m_rate : 0;
+  return IsSet() ? m_arrivals.Value(aNow) / ToSeconds(kLoadWindow) / m_rate : 0;
 }
 
 //==============================================================================
@@ -73,11 +70,4 @@
                   m_tokens + m_rate * ToSeconds(aNow - m_tokensUpdated));
 }
 
-double
-RateLimit::Arrivals(Instant aNow) const
-{
-  return m_arrivals * std::exp(-ToSeconds(aNow - m_arrivalsUpdated) /
-                               ToSeconds(kLoadWindow));
-}
-
 }
--- a/modules/cr_admission/slots/cr_RateLimit.h
+++ b/modules/cr_admission/slots/cr_RateLimit.h
@@ -2,7 +2,7 @@
 
 #include <optional>
 
-#include "cr_core/cr_core.h"
+#include "cr_admission/share/cr_DecayingSum.h"
 
 namespace cr {
 
@@ -48,15 +48,13 @@
 
 private:
   double Tokens(Instant aNow) const;
-  double Arrivals(Instant aNow) const;
 
   /* 0 for no limit. */
   double m_rate = 0;
   double m_tokens = 0;
   Instant m_tokensUpdated;
-  /* Number of arrivals, with exponential decay over the load window. */
-  double m_arrivals = 0;
-  Instant m_arrivalsUpdated;
+  static constexpr Duration kLoadWindow = Milliseconds(500);
+  DecayingSum m_arrivals{ kLoadWindow };
 };
 
 }
