Pipelined requests of a connection run side by side

Cause: HttpServer began a request only when the response before it was written.

HttpServer takes an overlap check: requests that it allows, and whose earlier ones in progress it allowed too, are handled side by side; any other waits until all earlier ones are answered, and its time runs meanwhile. Responses keep the order of the requests. Bounded: 32 requests in progress and 256 KiB of waiting responses a connection, both within the server's held bytes. The response that closes a connection is that of the last request that was handled; the rest of what was sent is read and dropped for 2 s, as a reset would destroy it.

Reading is now one wait at a time for the idle limit, the next request and the end of the connection, in place of a wait that each response cancelled. One file of 700 lines became HttpRequestReader (no socket), HttpConnection, HttpServer.

Tests: HttpPipeline.*; with a check that allows nothing, SlowFirstRequestDoesNotDelayTheNextOne fails as before.

--- a/modules/cr_node/decisions/cr_NodeDecisions.cpp
+++ b/modules/cr_node/decisions/cr_NodeDecisions.cpp
@@ -100,6 +100,14 @@
   return status;
 }
 
+bool
+NodeDecisions::IsIdempotent(const OperationName& aOperation) const
+{
+  const ConfigurationPointer configuration = m_shared.m_configuration.Current();
+  const OperationDescription* operation = configuration->Find(aOperation);
+  return operation != nullptr && operation->m_idempotent;
+}
+
 std::optional<NodeRow>
 NodeDecisions::FindNode(const HostName& aHost) const
 {
--- a/modules/cr_node/decisions/cr_NodeDecisions.h
+++ b/modules/cr_node/decisions/cr_NodeDecisions.h
@@ -59,6 +59,10 @@
     return m_shared.m_configuration.Current()->m_generation;
   }
 
+  /** Returns whether the active configuration has the operation and says that
+      it may run more than once. */
+  bool IsIdempotent(const OperationName& aOperation) const;
+
   /** Returns the row of a host; nothing when it is unknown or expired. */
   std::optional<NodeRow> FindNode(const HostName& aHost) const;
 
--- a/modules/cr_process/server/cr_NodeShell.cpp
+++ b/modules/cr_process/server/cr_NodeShell.cpp
@@ -4,6 +4,7 @@
 #include <thread>
 
 #include "cr_process/report/cr_Log.h"
+#include "cr_process/wire/cr_CallWire.h"
 
 namespace cr {
 
@@ -42,7 +43,13 @@
 Expected<void>
 NodeShell::Start()
 {
-  m_callerServer = MakeServer(&NodeShell::HandleCaller);
+  m_callerServer = MakeServer(
+    &NodeShell::HandleCaller,
+    [weak = weak_from_this()](const HttpRequest& aRequest) {
+      const auto self = weak.lock();
+      const auto operation = ParseCallTarget(aRequest.m_target);
+      return self && operation && self->m_decisions.IsIdempotent(*operation);
+    });
   m_peerServer = MakeServer(&NodeShell::HandlePeer);
   m_operatorServer = std::make_unique<HttpServer>(
     m_threads,
@@ -102,7 +109,8 @@
 
 std::unique_ptr<HttpServer>
 NodeShell::MakeServer(void (NodeShell::*aHandler)(HttpRequest&&,
-                                                  const HttpResponder&))
+                                                  const HttpResponder&),
+                      HttpOverlapCheck aMayOverlap)
 {
   return std::make_unique<HttpServer>(
     m_threads,
@@ -112,7 +120,8 @@
       if (const auto self = weak.lock()) {
         (self.get()->*aHandler)(std::move(aRequest), aResponder);
       }
-    });
+    },
+    std::move(aMayOverlap));
 }
 
 //==============================================================================
--- a/modules/cr_process/server/cr_NodeShell.h
+++ b/modules/cr_process/server/cr_NodeShell.h
@@ -83,7 +83,8 @@
     return MakeCallId(++m_sequence, aShard);
   }
   std::unique_ptr<HttpServer> MakeServer(
-    void (NodeShell::*aHandler)(HttpRequest&&, const HttpResponder&));
+    void (NodeShell::*aHandler)(HttpRequest&&, const HttpResponder&),
+    HttpOverlapCheck aMayOverlap = {});
 
   const NodeSettings m_settings;
   NodeDecisions m_decisions;
--- a/modules/cr_process/wire/cr_CallWire.cpp
+++ b/modules/cr_process/wire/cr_CallWire.cpp
@@ -181,6 +181,11 @@
     return tl::unexpected(timeout.error());
   }
   CustomerCall call{ {}, *operation, aFallback, *key, *timeout, nullptr };
+  if (call.m_callerTimeout) {
+    // The caller's time also ran while the request waited for its turn.
+    call.m_callerTimeout =
+      std::max(Duration::zero(), *call.m_callerTimeout - aRequest.m_waited);
+  }
   if (!FindHeader(aRequest.m_headers, kRequestHeader).empty()) {
     const auto request =
       ReadIdentifier<RequestTag>(aRequest.m_headers, kRequestHeader);
--- a/modules/cr_relay/event/cr_RelayEvent.h
+++ b/modules/cr_relay/event/cr_RelayEvent.h
@@ -23,6 +23,8 @@
   /** Time that the caller waits for an answer; the route's timeout applies if
       the request does not state it. */
   std::optional<Duration> m_callerTimeout;
+  /** How long the request waited for its turn on its connection. */
+  Duration m_waited{};
   /** Made by MakeContentKey() of what the backend server reads. */
   RequestKey m_content;
 };
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
@@ -103,8 +103,9 @@
   call.m_table = m_shared.m_routes.Current();
   call.m_route = call.m_table->Find(aEvent.m_hostName, aEvent.m_target);
   call.m_content = aEvent.m_content;
-  call.m_arrived = aNow;
-  call.m_deadline = aNow + aEvent.m_callerTimeout.value_or(Seconds(1));
+  call.m_arrived = aNow - aEvent.m_waited;
+  call.m_deadline =
+    call.m_arrived + aEvent.m_callerTimeout.value_or(Seconds(1));
   if (m_shared.m_routes.ActiveGeneration() == 0) {
     Refuse(
       call, kStatusUnavailable, Reason::StoreUnavailable, {}, aNow, aActions);
@@ -117,7 +118,7 @@
   const Duration timeout =
     std::min(aEvent.m_callerTimeout.value_or(call.m_route->m_timeout),
              call.m_route->m_timeout);
-  call.m_deadline = aNow + timeout;
+  call.m_deadline = call.m_arrived + timeout;
   call.m_service = m_rotation.Next(*call.m_route);
   call.m_isChildCall = m_shared.m_calledRoutes.contains(call.m_route->m_name);
   if (call.m_isChildCall) {
--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -111,7 +111,13 @@
   HttpLimits peers = customers;
   peers.m_headerBytes += kAddedHeaderBytes;
   peers.m_bodyBytes = m_settings.m_heldBodyBytes;
-  m_customerServer = MakeServer(customers, &Implementation::HandleCustomer);
+  m_customerServer =
+    MakeServer(customers,
+               &Implementation::HandleCustomer,
+               [weak = weak_from_this()](const HttpRequest& aRequest) {
+                 const auto self = weak.lock();
+                 return self && self->IsIdempotent(aRequest);
+               });
   m_peerServer = MakeServer(peers, &Implementation::HandlePeer);
   m_controlServer = MakeServer({}, &Implementation::HandleControl);
   m_operatorServer = MakeServer({}, &Implementation::HandleOperator);
@@ -210,7 +216,8 @@
 
 std::unique_ptr<HttpServer>
 RelayServer::Implementation::MakeServer(const HttpLimits& aLimits,
-                                        Handler aHandler)
+                                        Handler aHandler,
+                                        HttpOverlapCheck aMayOverlap)
 {
   return std::make_unique<HttpServer>(
     m_threads,
@@ -221,7 +228,17 @@
       if (self && !self->m_isClosed) {
         (self.get()->*aHandler)(std::move(aRequest), aResponder);
       }
-    });
+    },
+    std::move(aMayOverlap));
+}
+
+/* Idempotent requests of one connection run side by side. */
+bool
+RelayServer::Implementation::IsIdempotent(const HttpRequest& aRequest) const
+{
+  const RouteDescription* route = m_decisions.Routes()->Find(
+    FindHeader(aRequest.m_headers, "Host"), aRequest.m_target);
+  return route != nullptr && route->m_idempotent;
 }
 
 //==============================================================================
@@ -252,13 +269,14 @@
   std::string id(
     FindHeader(aRequest.m_headers, m_adapter.m_headers.m_requestId));
   m_metrics.CountRequest(aIngress);
+  const Instant arrivedAt = IoThreads::Now() - aRequest.m_waited;
   m_pendingCalls.emplace(
     call,
     PendingCall{ std::make_shared<const HttpRequest>(std::move(aRequest)),
                  aResponder,
                  std::move(id),
                  aIngress,
-                 IoThreads::Now(),
+                 arrivedAt,
                  {},
                  {},
                  {},
@@ -285,6 +303,7 @@
   RequestArrived event;
   event.m_hostName = FindHeader(aRequest.m_headers, "Host");
   event.m_target = aRequest.m_target;
+  event.m_waited = aRequest.m_waited;
   event.m_callerTimeout =
     ParseCallerTimeout(FindHeader(aRequest.m_headers, names.m_callerTimeout));
   if (FindHeader(aRequest.m_headers, names.m_requestId).empty()) {
--- a/modules/cr_relay_server/server/cr_RelayShell.h
+++ b/modules/cr_relay_server/server/cr_RelayShell.h
@@ -50,7 +50,9 @@
   using Handler = void (Implementation::*)(HttpRequest&&, const HttpResponder&);
 
   std::unique_ptr<HttpServer> MakeServer(const HttpLimits& aLimits,
-                                         Handler aHandler);
+                                         Handler aHandler,
+                                         HttpOverlapCheck aMayOverlap = {});
+  bool IsIdempotent(const HttpRequest& aRequest) const;
   void HandleCustomer(HttpRequest&& aRequest, const HttpResponder& aResponder);
   void HandlePeer(HttpRequest&& aRequest, const HttpResponder& aResponder);
   void HandleControl(HttpRequest&& aRequest, const HttpResponder& aResponder);
--- a/modules/cr_transport/http/cr_HttpMessage.h
+++ b/modules/cr_transport/http/cr_HttpMessage.h
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include "cr_core/cr_core.h"
+
 namespace cr {
 
 /** One header field. */
@@ -27,6 +29,9 @@
   std::string m_body;
   /** IP address of the client; set by HttpServer. */
   std::string m_remoteAddress{};
+  /** How long the request waited for earlier ones of its connection after it
+      was read; set by HttpServer. */
+  Duration m_waited{};
 };
 
 /** HTTP status codes that the programs send. */
--- a/modules/cr_transport/http/cr_HttpServer.h
+++ b/modules/cr_transport/http/cr_HttpServer.h
@@ -20,12 +20,15 @@
   std::size_t m_connections = 4096;
   /** Max time without a request on a connection. */
   Duration m_idle = Seconds(60);
-  /** Max time from the first byte of a request to the end of its header. */
+  /** Max time from the first byte of a request to the end of its header. A
+      request that is late closes its connection, after the responses to earlier
+      ones. */
   Duration m_header = Seconds(10);
   /** Max time to read the body of a request, and to write a response. */
   Duration m_transfer = Seconds(10);
-  /** Max bytes of request bodies in memory over all connections; a request
-      that exceeds it gets 503. */
+  /** Max bytes of request bodies, and of responses that wait for earlier ones
+     of their connection, in memory over all connections; a request that exceeds
+      it gets 503. */
   std::uint64_t m_heldBodyBytes = 256 * 1024 * 1024;
 };
 
@@ -55,15 +58,17 @@
     m_target->Send(std::move(aResponse));
   }
 
-  /** Calls the function once if the caller closes its connection before the
-      response is sent. Thread safe. */
+  /** Calls the function once if the caller closes its connection, or the
+      connection ends before the response is written. No effect once a response
+      was sent. Thread safe. */
   void NotifyOnDisconnect(std::function<void()> aOnDisconnect) const
   {
     m_target->NotifyOnDisconnect(std::move(aOnDisconnect));
   }
 
-  /** Closes the connection without a response. No effect once a response was
-      sent. Thread safe. */
+  /** Closes the connection without a response, after the responses to earlier
+      requests. Later requests in progress are told of the disconnect. No effect
+      once a response was sent. Thread safe. */
   void Close() const { m_target->Close(); }
 
   /** Returns false if the caller has closed its connection, even if the
@@ -78,13 +83,29 @@
 /** Called with each request, on one of the I/O threads. */
 using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
 
-/** HTTP/1.1 server that handles one request at a time per connection, without
-    pipelining. All methods are thread safe. */
+/** Returns whether a request may run beside others of its connection, which it
+    may if it is safe to run in any order with them. Called on one of the I/O
+    threads. */
+using HttpOverlapCheck = std::function<bool(const HttpRequest&)>;
+
+/** HTTP/1.1 server. Responses are written in the order of the requests.
+   Pipelined requests that the overlap check allows are handled side by side;
+   any other is handled once all earlier ones of its connection are answered.
+   The number of requests in progress on a connection is bounded, and so are the
+   bytes of responses that wait for an earlier one; beyond that, reading stops.
+
+    A response that closes the connection is that of the last request that was
+    handed to the handler; what was received behind it is discarded unhandled.
+    All methods are thread safe. */
 class HttpServer
 {
 public:
-  /** Creates a server; the threads must outlive it. */
-  HttpServer(IoThreads& aThreads, HttpLimits aLimits, HttpHandler aHandler);
+  /** Creates a server; the threads must outlive it. Without an overlap check,
+      requests of one connection are handled one after the other. */
+  HttpServer(IoThreads& aThreads,
+             HttpLimits aLimits,
+             HttpHandler aHandler,
+             HttpOverlapCheck aMayOverlap = {});
   /** Closes all connections. */
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
@@ -97,12 +118,13 @@
   /** Changes the limits for later requests. */
   void SetLimits(const HttpLimits& aLimits);
 
-  /** Closes each connection after its next response, so that customers move to
-      other hosts; new connections are still accepted. */
+  /** Closes each connection after the responses to its requests in progress, at
+      least one, so that customers move to other hosts; new connections are
+     still accepted. */
   void CloseAfterResponses();
 
   /** Stops accepting connections. Requests in progress continue, and their
-      connections close after the response. */
+      connections close after the responses. */
   void StopAccepting();
 
   /** Closes all connections immediately. */
