--- a/benchmarks/path-latency/main.cpp
+++ b/benchmarks/path-latency/main.cpp
@@ -1,13 +1,19 @@
 /* Measures the latency that the path through two nodes adds to a call, compared
    with the same call sent directly to the backend server. Everything runs on
-   loopback in one process. */
+   loopback in one process. With --depth, the calls to the nodes are pipelined;
+   direct ones are not, as the backend server runs a call at a time on a
+   connection. */
 
 #include <algorithm>
+#include <future>
+#include <optional>
 #include <thread>
 #include <vector>
 
 #include <fmt/format.h>
 
+#include "caller_stand_in/caller_stand_in.h"
+#include "cr_command/cr_command.h"
 #include "cr_process/cr_process.h"
 #include "cr_transport/cr_transport.h"
 #include "platform_stand_in/platform_stand_in.h"
@@ -18,6 +24,8 @@
 constexpr std::uint16_t kFirstPort = 24110;
 constexpr int kWarmUpCalls = 300;
 constexpr int kCalls = 4000;
+constexpr int kPipelines = 1000;
+constexpr std::size_t kMaxDepth = 32;
 constexpr double kTargetP99Ms = 1.3;
 constexpr cr::Duration kCallTimeout = cr::Seconds(5);
 constexpr cr::Duration kReadyTimeout = cr::Seconds(20);
@@ -74,13 +82,19 @@
   return false;
 }
 
+cr::HttpRequest
+MakeCall()
+{
+  return { "POST", "/call/shop/browse", {}, "x" };
+}
+
 /* Returns the latency of one call in milliseconds; negative if it failed. */
 double
 TimeCall(cr::HttpClient& aClient, const cr::Endpoint& aEndpoint)
 {
   const cr::Instant start = cr::IoThreads::Now();
-  const cr::HttpResult result = aClient.SendAndWait(
-    aEndpoint, { "POST", "/call/shop/browse", {}, "x" }, kCallTimeout);
+  const cr::HttpResult result =
+    aClient.SendAndWait(aEndpoint, MakeCall(), kCallTimeout);
   const cr::Duration taken = cr::IoThreads::Now() - start;
   const auto* response = std::get_if<cr::HttpResponse>(&result);
   if (response == nullptr || response->m_status != cr::kHttpOk) {
@@ -89,6 +103,39 @@
   return static_cast<double>(taken.count()) / 1000.0;
 }
 
+/* Returns the latency in milliseconds of each of the calls, sent together on a
+   new connection; nothing if one failed. The clock starts when they are sent.
+ */
+std::optional<std::vector<double>>
+TimePipeline(cr::IoThreads& aThreads, std::size_t aDepth)
+{
+  struct State
+  {
+    std::vector<double> m_times;
+    bool m_hasFailed = false;
+    std::promise<void> m_done;
+  };
+  const auto state = std::make_shared<State>();
+  const cr::Instant start = cr::IoThreads::Now();
+  cr::SendPipelined(
+    aThreads,
+    EndpointAt(1),
+    std::vector<cr::HttpRequest>(aDepth, MakeCall()),
+    kCallTimeout,
+    [state, start, aDepth](std::size_t aNumber, const cr::HttpResult& aResult) {
+      const cr::Duration taken = cr::IoThreads::Now() - start;
+      const auto* response = std::get_if<cr::HttpResponse>(&aResult);
+      state->m_hasFailed |=
+        response == nullptr || response->m_status != cr::kHttpOk;
+      state->m_times.push_back(static_cast<double>(taken.count()) / 1000.0);
+      if (aNumber + 1 == aDepth) {
+        state->m_done.set_value();
+      }
+    });
+  state->m_done.get_future().wait();
+  return state->m_hasFailed ? std::nullopt : std::optional(state->m_times);
+}
+
 double
 Quantile(std::vector<double> aTimes, double aShare)
 {
@@ -123,6 +170,26 @@
   return times;
 }
 
+/* Alternates direct calls with pipelines through the nodes. */
+Times
+MeasurePipelines(cr::IoThreads& aThreads,
+                 cr::HttpClient& aClient,
+                 std::size_t aDepth)
+{
+  Times times;
+  for (int call = 0; call < kWarmUpCalls + kPipelines; ++call) {
+    const double direct = TimeCall(aClient, EndpointAt(7));
+    const auto path = TimePipeline(aThreads, aDepth);
+    if (direct < 0 || !path) {
+      ++times.m_failed;
+    } else if (call >= kWarmUpCalls) {
+      times.m_direct.push_back(direct);
+      times.m_path.insert(times.m_path.end(), path->begin(), path->end());
+    }
+  }
+  return times;
+}
+
 int
 Report(const Times& aTimes)
 {
@@ -150,7 +217,7 @@
 }
 
 int
-Run()
+Run(std::size_t aDepth)
 {
   cr::IoThreads threads(2);
   cr::HttpClient client(threads, {});
@@ -166,7 +233,8 @@
   plan.m_service = cr::ParseServiceFile("shop.json", kServiceFile, findings);
   plan.m_node = EndpointAt(4);
   plan.m_listen = EndpointAt(7);
-  plan.m_slots = 4;
+  plan.m_slots =
+    std::max<std::uint32_t>(4, 2 * static_cast<std::uint32_t>(aDepth));
   plan.m_serviceTime = cr::Duration::zero();
   cr::BackendServer server(threads, plan);
   if (!entry.Start() || !gate.Start() || !server.Start() ||
@@ -174,7 +242,8 @@
     fmt::print(stderr, "path-latency: the nodes did not get ready\n");
     return 1;
   }
-  const int result = Report(Measure(client));
+  const int result = Report(
+    aDepth == 0 ? Measure(client) : MeasurePipelines(threads, client, aDepth));
   threads.Stop();
   return result;
 }
@@ -182,7 +251,25 @@
 }
 
 int
-main()
+main(int aCount, char** aArguments)
 {
-  return Run();
+  const cr::CommandDescription description{
+    "path-latency",
+    "",
+    { { "depth",
+        'd',
+        "send CALLS together on a connection; 0, the default: one after the "
+        "other on kept connections",
+        "CALLS" } }
+  };
+  const auto command = cr::ParseCommand(
+    { aArguments, static_cast<std::size_t>(aCount) }, description);
+  if (!command) {
+    return cr::Fail(description, cr::kExitUsage, command.error().m_text);
+  }
+  const auto depth = cr::ParseNumber<std::size_t>(command->Value("depth", "0"));
+  if (!depth || *depth > kMaxDepth) {
+    return cr::Fail(description, cr::kExitUsage, "--depth: 0 to 32");
+  }
+  return Run(*depth);
 }
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
@@ -35,6 +35,9 @@
    because the request that makes it would be lost with all its other calls. */
 constexpr double kMaxRetryLoad = 1.0;
 constexpr double kMaxChildCallRetryLoad = 2.0;
+/* From this path load on, a slow attempt of a child call is not replaced: it
+   more likely waits in a queue, and another host would be as late. */
+constexpr double kMaxSlowRetryLoad = 1.25;
 /* A refused customer retries after at least this fraction of the objective,
    plus a random part of the spread, but never after more than a third of its
    remaining time, so that time for the retry is left. */
@@ -211,6 +214,23 @@
   ResolveAttempt(call, report, aNow, aActions);
 }
 
+void
+RelayEntryFlow::Advance(Instant aNow, RelayActions& aActions)
+{
+  while (!m_slowTimes.empty() && m_slowTimes.begin()->first <= aNow) {
+    Call& call = m_calls.at(m_slowTimes.begin()->second);
+    SetSlowTime(call, Instant::max());
+    ReplaceSlowAttempt(call, aNow, aActions);
+  }
+}
+
+std::optional<Instant>
+RelayEntryFlow::NextWakeup() const
+{
+  return m_slowTimes.empty() ? std::nullopt
+                             : std::optional(m_slowTimes.begin()->first);
+}
+
 void
 RelayEntryFlow::OnFleetChanged()
 {
@@ -291,9 +311,64 @@
   if (!aCall.m_isChildCall && admission != nullptr) {
     admission->End();
   }
+  m_slowTimes.erase({ aCall.m_slowAt, aCall.m_id });
   m_calls.erase(aCall.m_id);
 }
 
+void
+RelayEntryFlow::SetSlowTime(Call& aCall, Instant aSlowAt)
+{
+  m_slowTimes.erase({ aCall.m_slowAt, aCall.m_id });
+  aCall.m_slowAt = aSlowAt;
+  if (aSlowAt != Instant::max()) {
+    m_slowTimes.insert({ aSlowAt, aCall.m_id });
+  }
+}
+
+/* A server whose answer is lost, or that is far slower than usual, holds the
+   request of which the child call is a part until the deadline of the call, and
+   a slot of its gate. Another host is asked instead if one is left; else the
+   attempt goes on. */
+void
+RelayEntryFlow::ReplaceSlowAttempt(Call& aCall,
+                                   Instant aNow,
+                                   RelayActions& aActions)
+{
+  const auto router = m_shared.m_routers.find(aCall.m_service);
+  const auto path = m_shared.m_childCallPaths.find(aCall.m_route->m_name);
+  if (router == m_shared.m_routers.end() || !aCall.m_target ||
+      aCall.m_runs + 1 >= aCall.m_route->m_attempts ||
+      aCall.m_triedHosts.size() >= kMaxForwards ||
+      m_shared.m_suspects.IsRefused(aCall.m_content, aNow) ||
+      (path != m_shared.m_childCallPaths.end() &&
+       path->second.m_load.Value(aNow) > kMaxSlowRetryLoad)) {
+    return;
+  }
+  auto target = ChooseTarget(aCall, router->second, aNow);
+  if (!target || target->m_host == aCall.m_target->m_host ||
+      !m_budget.TryConsumeRetry(aCall.m_service, aNow)) {
+    return;
+  }
+  aActions.emplace_back(
+    LogDecision{ "slow-attempt",
+                 aCall.m_id,
+                 fmt::format("\"host\":\"{}\",\"next\":\"{}\",\"route\":\"{}\","
+                             "\"sent_ms\":{},\"remaining_ms\":{},\"runs\":{}",
+                             aCall.m_target->m_host,
+                             target->m_host,
+                             aCall.m_route->m_name,
+                             ToMilliseconds(aNow - aCall.m_sent),
+                             ToMilliseconds(aCall.m_deadline - aNow),
+                             aCall.m_runs + 1) });
+  aActions.emplace_back(CancelForward{ aCall.m_id });
+  ++aCall.m_runs;
+  aCall.m_lastReason = Reason::DeadlineTooShort;
+  AttemptResult result;
+  result.m_latency = aNow - aCall.m_sent;
+  ReportAttempt(aCall, result, aNow);
+  SendAttempt(aCall, std::move(*target), aNow, aActions);
+}
+
 void
 RelayEntryFlow::SendNextAttempt(Call& aCall,
                                 Instant aNow,
@@ -310,7 +385,16 @@
     FinishUnanswered(aCall, aNow, aActions);
     return;
   }
-  aCall.m_triedHosts.push_back(target->m_host);
+  SendAttempt(aCall, std::move(*target), aNow, aActions);
+}
+
+void
+RelayEntryFlow::SendAttempt(Call& aCall,
+                            RouteTarget&& aTarget,
+                            Instant aNow,
+                            RelayActions& aActions)
+{
+  aCall.m_triedHosts.push_back(aTarget.m_host);
   aCall.m_sent = aNow;
   RelayHeader header;
   header.m_service = aCall.m_service;
@@ -328,13 +412,22 @@
   header.m_generation = m_shared.m_routes.ActiveGeneration();
   header.m_content = aCall.m_content;
   header.m_suspect = m_shared.m_suspects.Find(aCall.m_content, aNow);
-  const auto known = m_shared.m_serverReports.find(target->m_host);
+  const auto known = m_shared.m_serverReports.find(aTarget.m_host);
   if (known != m_shared.m_serverReports.end()) {
     header.m_knownServer = known->second;
   }
   aActions.emplace_back(
-    ForwardRequest{ aCall.m_id, target->m_peer, std::move(header) });
-  aCall.m_target = std::move(target);
+    ForwardRequest{ aCall.m_id, aTarget.m_peer, std::move(header) });
+  aCall.m_target = std::move(aTarget);
+  const auto times = m_attemptTimes.find(aCall.m_route->m_name);
+  const std::optional<Duration> slowAfter = aCall.m_isChildCall &&
+                                                aCall.m_route->m_idempotent &&
+                                                times != m_attemptTimes.end()
+                                              ? times->second.SlowAfter(aNow)
+                                              : std::nullopt;
+  const bool leavesTime =
+    slowAfter && aNow + 2 * *slowAfter <= aCall.m_deadline;
+  SetSlowTime(aCall, leavesTime ? aNow + *slowAfter : Instant::max());
 }
 
 std::optional<RouteTarget>
@@ -385,6 +478,7 @@
     if (aCall.m_isChildCall) {
       m_shared.m_pattern.RecordCallTime(
         aCall.m_route->m_name, aNow - aCall.m_arrived, aNow);
+      RecordAttemptTime(aCall, aNow);
     }
     aActions.emplace_back(RelayAnswer{ aCall.m_id });
     Finish(aCall);
@@ -409,6 +503,17 @@
   FinishUnanswered(aCall, aNow, aActions);
 }
 
+void
+RelayEntryFlow::RecordAttemptTime(const Call& aCall, Instant aNow)
+{
+  const std::string& name = aCall.m_route->m_name;
+  if (m_attemptTimes.size() >= kMaxAdmissions &&
+      !m_attemptTimes.contains(name)) {
+    m_attemptTimes.clear();
+  }
+  m_attemptTimes[name].Record(aNow - aCall.m_sent, aNow);
+}
+
 bool
 RelayEntryFlow::MayRetry(const Call& aCall,
                          const RelayReport& aReport,
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.h
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -45,6 +46,9 @@
               Instant aNow,
               RelayActions& aActions);
 
+  /** Sends slow child calls to another host. */
+  void Advance(Instant aNow, RelayActions& aActions);
+
   /** Adapts the retry budget to the present number of nodes. */
   void OnFleetChanged();
 
@@ -52,6 +56,9 @@
   /** Returns whether the request is in progress here. */
   bool Has(CallId aCall) const { return m_calls.contains(aCall); }
 
+  /** Returns when Advance() is due, if at all. */
+  std::optional<Instant> NextWakeup() const;
+
   /** Returns the number of requests in progress. */
   std::size_t Size() const { return m_calls.size(); }
 
@@ -69,6 +76,8 @@
     bool m_isChildCall = false;
     std::optional<RouteTarget> m_target;
     Instant m_sent;
+    /* When the attempt counts as slow; Instant::max() for never. */
+    Instant m_slowAt = Instant::max();
     std::vector<HostName> m_triedHosts;
     /* Number of attempts that a backend server may have run. */
     std::uint32_t m_runs = 0;
@@ -92,6 +101,13 @@
                       const RelayReport& aReport,
                       Instant aNow,
                       RelayActions& aActions);
+  void SetSlowTime(Call& aCall, Instant aSlowAt);
+  void RecordAttemptTime(const Call& aCall, Instant aNow);
+  void ReplaceSlowAttempt(Call& aCall, Instant aNow, RelayActions& aActions);
+  void SendAttempt(Call& aCall,
+                   RouteTarget&& aTarget,
+                   Instant aNow,
+                   RelayActions& aActions);
   bool MayRetry(const Call& aCall, const RelayReport& aReport, Instant aNow);
   bool MayRetryDispatched(const Call& aCall,
                           const RelayReport& aReport,
@@ -115,6 +131,10 @@
   ServiceRotation m_rotation;
   RetryBudget m_budget;
   std::unordered_map<CallId, Call> m_calls;
+  /* By route of child calls. */
+  std::map<std::string, AttemptTimes, std::less<>> m_attemptTimes;
+  /* Child calls by the time at which their attempt counts as slow. */
+  std::set<std::pair<Instant, CallId>> m_slowTimes;
   std::unordered_map<std::string, RouteAdmission> m_admissions;
   /* By the service that limits requests. */
   std::map<std::string, BottleneckShares, std::less<>> m_bottlenecks;
--- a/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
@@ -287,6 +287,99 @@
   EXPECT_EQ(node.TakeRefusalStatus(), kGatewayTimeout);
 }
 
+/* The load of incident inc-433b: a tenth of the answers to the deepest calls is
+   lost without a reset. Each lost one held its caller's request until the
+   deadline of the call, 700 ms, and then the request failed. */
+struct EntryWithUsualTimes : Entry
+{
+  explicit EntryWithUsualTimes(double aLoad = 0.5)
+  {
+    RelayReport report = kCompleted;
+    report.m_isCalledRoute = true;
+    report.m_pathLoad = aLoad;
+    for (int request = 0; request < 40; ++request) {
+      const CallId call = Request("/status/1", kChildTimeout);
+      m_now += Milliseconds(30 + request % 10);
+      Answer(call, report);
+    }
+    TakeActions<RelayAnswer>();
+    TakeActions<ForwardRequest>();
+    TakeActions<LogDecision>();
+  }
+
+  void Wait(Duration aTime)
+  {
+    m_now += aTime;
+    Feed(RelayTimerDue{});
+  }
+
+  static constexpr Duration kChildTimeout = Milliseconds(700);
+};
+
+TEST(RelayEntryFlow, SlowChildCallIsSentToAnotherHost)
+{
+  EntryWithUsualTimes node;
+  const CallId call =
+    node.Request("/status/9", EntryWithUsualTimes::kChildTimeout);
+  const std::string first = node.TakeForwardHost();
+  node.Wait(Milliseconds(60));
+  EXPECT_TRUE(node.TakeActions<ForwardRequest>().empty());
+  EXPECT_LE(node.m_decisions.NextWakeup(), node.m_now + Milliseconds(60));
+  node.Wait(Milliseconds(60));
+  EXPECT_EQ(node.TakeActions<CancelForward>().size(), 1U);
+  EXPECT_NE(node.TakeForwardHost(), first);
+  EXPECT_EQ(node.CountLogLines("slow-attempt"), 1);
+  node.Answer(call, kCompleted);
+  EXPECT_EQ(node.TakeActions<RelayAnswer>().size(), 1U);
+}
+
+TEST(RelayEntryFlow, SlowChildCallKeepsToItsAttemptsAndDeadline)
+{
+  EntryWithUsualTimes node;
+  const CallId call =
+    node.Request("/status/9", EntryWithUsualTimes::kChildTimeout);
+  node.TakeForwardHost();
+  node.Wait(Milliseconds(120));
+  EXPECT_EQ(node.TakeActions<ForwardRequest>().size(), 1U);
+  // The route allows two attempts.
+  node.Wait(Milliseconds(400));
+  EXPECT_TRUE(node.TakeActions<ForwardRequest>().empty());
+  node.Wait(Milliseconds(200));
+  node.Feed(ForwardFailed{ call, true, true });
+  EXPECT_EQ(node.TakeRefusalStatus(), kGatewayTimeout);
+  // Another host could not answer within the rest.
+  node.Request("/status/9", Milliseconds(150));
+  node.TakeForwardHost();
+  node.Wait(Milliseconds(120));
+  EXPECT_TRUE(node.TakeActions<ForwardRequest>().empty());
+}
+
+TEST(RelayEntryFlow, SlowChildCallsAreLimitedByTheRetryBudget)
+{
+  EntryWithUsualTimes node;
+  constexpr int calls = 200;
+  for (int call = 0; call < calls; ++call) {
+    node.Request("/status/9", EntryWithUsualTimes::kChildTimeout);
+  }
+  node.TakeActions<ForwardRequest>();
+  node.Wait(Milliseconds(120));
+  const std::size_t replaced = node.TakeActions<ForwardRequest>().size();
+  // Half of the requests and a slack of 10, which all nodes share.
+  EXPECT_GT(replaced, 100U);
+  EXPECT_LE(replaced, 142U);
+  EXPECT_EQ(node.TakeActions<CancelForward>().size(), replaced);
+}
+
+TEST(RelayEntryFlow, SlowChildCallsOfAnOverloadedServiceGoOn)
+{
+  EntryWithUsualTimes node(1.6);
+  node.Request("/status/9", EntryWithUsualTimes::kChildTimeout);
+  node.TakeForwardHost();
+  node.Wait(Milliseconds(300));
+  EXPECT_TRUE(node.TakeActions<ForwardRequest>().empty());
+  EXPECT_TRUE(node.TakeActions<CancelForward>().empty());
+}
+
 TEST(RelayEntryFlow, DisconnectedCustomerCancelsTheRequest)
 {
   Entry node;
--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -280,6 +280,7 @@
                  {},
                  {},
                  {},
+                 0,
                  {},
                  {} });
   aResponder.NotifyOnDisconnect([weak = weak_from_this(), call] {
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -117,19 +117,22 @@
     std::move(request),
     MakeSendOptions(aAction.m_header.m_remaining + kPeerAnswerMargin,
                     aAction.m_header.m_isIdempotent),
-    [weak = weak_from_this(), call = aAction.m_call](HttpResult aResult) {
+    [weak = weak_from_this(),
+     call = aAction.m_call,
+     number = ++pending->m_forwardNumber](HttpResult aResult) {
       if (const auto self = weak.lock()) {
-        self->OnForwardCompleted(call, std::move(aResult));
+        self->OnForwardCompleted(call, number, std::move(aResult));
       }
     });
 }
 
 void
 RelayServer::Implementation::OnForwardCompleted(CallId aCall,
+                                                std::uint32_t aNumber,
                                                 HttpResult&& aResult)
 {
   PendingCall* pending = FindPendingCall(aCall);
-  if (pending == nullptr) {
+  if (pending == nullptr || pending->m_forwardNumber != aNumber) {
     return;
   }
   if (const auto* failure = std::get_if<HttpFailure>(&aResult)) {
@@ -162,6 +165,7 @@
 RelayServer::Implementation::Execute(const CancelForward& aAction)
 {
   if (PendingCall* pending = FindPendingCall(aAction.m_call)) {
+    ++pending->m_forwardNumber;
     HttpExchange exchange = pending->m_forward;
     exchange.Cancel();
   }
--- /dev/null
+++ b/stand_ins/caller_stand_in/caller_stand_in.h
@@ -0,0 +1,5 @@
+#pragma once
+
+/** A caller for tests and measurements that pipelines requests. */
+
+#include "caller_stand_in/caller/cr_PipeliningCaller.h"
