Try: runs and attempts that take far longer than usual are replaced

Tried: AttemptTimes (mean and 4 deviations over 10 s), SlowAttempts; the entry replaces slow child calls; the gate ends slow runs whose sender may replace them, within the retry budget.

--- a/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
@@ -35,9 +35,6 @@
    because the request that makes it would be lost with all its other calls. */
 constexpr double kMaxRetryLoad = 1.0;
 constexpr double kMaxChildCallRetryLoad = 2.0;
-/* From this path load on, a slow attempt of a child call is not replaced: it
-   more likely waits in a queue, and another host would be as late. */
-constexpr double kMaxSlowRetryLoad = 1.25;
 /* A refused customer retries after at least this fraction of the objective,
    plus a random part of the spread, but never after more than a third of its
    remaining time, so that time for the retry is left. */
@@ -217,20 +214,11 @@
 void
 RelayEntryFlow::Advance(Instant aNow, RelayActions& aActions)
 {
-  while (!m_slowTimes.empty() && m_slowTimes.begin()->first <= aNow) {
-    Call& call = m_calls.at(m_slowTimes.begin()->second);
-    SetSlowTime(call, Instant::max());
-    ReplaceSlowAttempt(call, aNow, aActions);
+  while (const auto call = m_slowAttempts.TakeSlow(aNow)) {
+    ReplaceSlowAttempt(m_calls.at(*call), aNow, aActions);
   }
 }
 
-std::optional<Instant>
-RelayEntryFlow::NextWakeup() const
-{
-  return m_slowTimes.empty() ? std::nullopt
-                             : std::optional(m_slowTimes.begin()->first);
-}
-
 void
 RelayEntryFlow::OnFleetChanged()
 {
@@ -311,37 +299,39 @@
   if (!aCall.m_isChildCall && admission != nullptr) {
     admission->End();
   }
-  m_slowTimes.erase({ aCall.m_slowAt, aCall.m_id });
+  m_slowAttempts.End(aCall.m_id);
   m_calls.erase(aCall.m_id);
 }
 
-void
-RelayEntryFlow::SetSlowTime(Call& aCall, Instant aSlowAt)
+/* Returns whether another host may run the child call instead of the one that
+   has it. */
+bool
+RelayEntryFlow::MayReplace(const Call& aCall, Instant aNow)
 {
-  m_slowTimes.erase({ aCall.m_slowAt, aCall.m_id });
-  aCall.m_slowAt = aSlowAt;
-  if (aSlowAt != Instant::max()) {
-    m_slowTimes.insert({ aSlowAt, aCall.m_id });
+  if (!aCall.m_isChildCall || !aCall.m_route->m_idempotent ||
+      !m_shared.m_settings.m_hasOverloadControl ||
+      aCall.m_runs + 1 >= aCall.m_route->m_attempts ||
+      aCall.m_triedHosts.size() >= kMaxForwards ||
+      m_shared.m_suspects.IsRefused(aCall.m_content, aNow)) {
+    return false;
   }
+  const auto path = m_shared.m_childCallPaths.find(aCall.m_route->m_name);
+  const bool isLoaded =
+    path != m_shared.m_childCallPaths.end() &&
+    path->second.m_load.Value(aNow) >= kMaxChildCallRetryLoad;
+  return !isLoaded && m_budget.HasRetry(aCall.m_service, aNow);
 }
 
-/* A server whose answer is lost, or that is far slower than usual, holds the
-   request of which the child call is a part until the deadline of the call, and
-   a slot of its gate. Another host is asked instead if one is left; else the
-   attempt goes on. */
+/* The gate replaces calls that its server runs for too long; this also helps if
+   the gate itself is slow or silent. */
 void
 RelayEntryFlow::ReplaceSlowAttempt(Call& aCall,
                                    Instant aNow,
                                    RelayActions& aActions)
 {
   const auto router = m_shared.m_routers.find(aCall.m_service);
-  const auto path = m_shared.m_childCallPaths.find(aCall.m_route->m_name);
   if (router == m_shared.m_routers.end() || !aCall.m_target ||
-      aCall.m_runs + 1 >= aCall.m_route->m_attempts ||
-      aCall.m_triedHosts.size() >= kMaxForwards ||
-      m_shared.m_suspects.IsRefused(aCall.m_content, aNow) ||
-      (path != m_shared.m_childCallPaths.end() &&
-       path->second.m_load.Value(aNow) > kMaxSlowRetryLoad)) {
+      !MayReplace(aCall, aNow)) {
     return;
   }
   auto target = ChooseTarget(aCall, router->second, aNow);
@@ -416,18 +406,14 @@
   if (known != m_shared.m_serverReports.end()) {
     header.m_knownServer = known->second;
   }
+  header.m_mayReplace = MayReplace(aCall, aNow);
+  if (header.m_mayReplace) {
+    m_slowAttempts.Begin(
+      aCall.m_id, aCall.m_route->m_name, aCall.m_deadline, aNow);
+  }
   aActions.emplace_back(
     ForwardRequest{ aCall.m_id, aTarget.m_peer, std::move(header) });
   aCall.m_target = std::move(aTarget);
-  const auto times = m_attemptTimes.find(aCall.m_route->m_name);
-  const std::optional<Duration> slowAfter = aCall.m_isChildCall &&
-                                                aCall.m_route->m_idempotent &&
-                                                times != m_attemptTimes.end()
-                                              ? times->second.SlowAfter(aNow)
-                                              : std::nullopt;
-  const bool leavesTime =
-    slowAfter && aNow + 2 * *slowAfter <= aCall.m_deadline;
-  SetSlowTime(aCall, leavesTime ? aNow + *slowAfter : Instant::max());
 }
 
 std::optional<RouteTarget>
@@ -465,6 +451,7 @@
                                Instant aNow,
                                RelayActions& aActions)
 {
+  m_slowAttempts.End(aCall.m_id);
   RecordLoad(aCall, aReport, aNow);
   RecordServer(aCall.m_target->m_host, aReport);
   if (aReport.m_suspect) {
@@ -478,7 +465,8 @@
     if (aCall.m_isChildCall) {
       m_shared.m_pattern.RecordCallTime(
         aCall.m_route->m_name, aNow - aCall.m_arrived, aNow);
-      RecordAttemptTime(aCall, aNow);
+      m_slowAttempts.RecordTime(
+        aCall.m_route->m_name, aNow - aCall.m_sent, aNow);
     }
     aActions.emplace_back(RelayAnswer{ aCall.m_id });
     Finish(aCall);
@@ -503,17 +491,6 @@
   FinishUnanswered(aCall, aNow, aActions);
 }
 
-void
-RelayEntryFlow::RecordAttemptTime(const Call& aCall, Instant aNow)
-{
-  const std::string& name = aCall.m_route->m_name;
-  if (m_attemptTimes.size() >= kMaxAdmissions &&
-      !m_attemptTimes.contains(name)) {
-    m_attemptTimes.clear();
-  }
-  m_attemptTimes[name].Record(aNow - aCall.m_sent, aNow);
-}
-
 bool
 RelayEntryFlow::MayRetry(const Call& aCall,
                          const RelayReport& aReport,
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.h
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <map>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -57,7 +56,10 @@
   bool Has(CallId aCall) const { return m_calls.contains(aCall); }
 
   /** Returns when Advance() is due, if at all. */
-  std::optional<Instant> NextWakeup() const;
+  std::optional<Instant> NextWakeup() const
+  {
+    return m_slowAttempts.NextWakeup();
+  }
 
   /** Returns the number of requests in progress. */
   std::size_t Size() const { return m_calls.size(); }
@@ -76,8 +78,6 @@
     bool m_isChildCall = false;
     std::optional<RouteTarget> m_target;
     Instant m_sent;
-    /* When the attempt counts as slow; Instant::max() for never. */
-    Instant m_slowAt = Instant::max();
     std::vector<HostName> m_triedHosts;
     /* Number of attempts that a backend server may have run. */
     std::uint32_t m_runs = 0;
@@ -101,13 +101,12 @@
                       const RelayReport& aReport,
                       Instant aNow,
                       RelayActions& aActions);
-  void SetSlowTime(Call& aCall, Instant aSlowAt);
-  void RecordAttemptTime(const Call& aCall, Instant aNow);
   void ReplaceSlowAttempt(Call& aCall, Instant aNow, RelayActions& aActions);
   void SendAttempt(Call& aCall,
                    RouteTarget&& aTarget,
                    Instant aNow,
                    RelayActions& aActions);
+  bool MayReplace(const Call& aCall, Instant aNow);
   bool MayRetry(const Call& aCall, const RelayReport& aReport, Instant aNow);
   bool MayRetryDispatched(const Call& aCall,
                           const RelayReport& aReport,
@@ -131,10 +130,8 @@
   ServiceRotation m_rotation;
   RetryBudget m_budget;
   std::unordered_map<CallId, Call> m_calls;
-  /* By route of child calls. */
-  std::map<std::string, AttemptTimes, std::less<>> m_attemptTimes;
-  /* Child calls by the time at which their attempt counts as slow. */
-  std::set<std::pair<Instant, CallId>> m_slowTimes;
+  /* Of child calls. */
+  SlowAttempts m_slowAttempts;
   std::unordered_map<std::string, RouteAdmission> m_admissions;
   /* By the service that limits requests. */
   std::map<std::string, BottleneckShares, std::less<>> m_bottlenecks;
--- a/modules/cr_relay/flow/cr_RelayGateFlowSuspects.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlowSuspects.cpp
@@ -323,6 +323,7 @@
 void
 RelayGateFlow::Erase(CallId aCall)
 {
+  m_slowRuns.End(aCall);
   const auto call = m_calls.find(aCall);
   if (call->second.m_isSuspect) {
     if (m_nextSuspect == aCall) {
--- a/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
@@ -372,7 +372,7 @@
 
 TEST(RelayEntryFlow, SlowChildCallsOfAnOverloadedServiceGoOn)
 {
-  EntryWithUsualTimes node(1.6);
+  EntryWithUsualTimes node(2.5);
   node.Request("/status/9", EntryWithUsualTimes::kChildTimeout);
   node.TakeForwardHost();
   node.Wait(Milliseconds(300));
