--- a/modules/cr_relay/decisions/cr_RelayDecisions.cpp
+++ b/modules/cr_relay/decisions/cr_RelayDecisions.cpp
@@ -36,7 +36,6 @@
   std::visit([&](const auto& aTyped) { HandleEvent(aTyped, aNow, actions); },
              aEvent);
   m_control.SetServer(m_gate.Server());
-  m_entry.Advance(aNow, actions);
   m_gate.Advance(aNow, actions);
   m_control.Advance(aNow, actions);
   ProcessLocalActions(std::move(actions), aNow, aActions);
@@ -54,9 +53,8 @@
 Instant
 RelayDecisions::NextWakeup() const
 {
-  return std::min({ m_entry.NextWakeup().value_or(Instant::max()),
-                    m_gate.NextWakeup().value_or(Instant::max()),
-                    m_control.NextWakeup().value_or(Instant::max()) });
+  return std::min(m_gate.NextWakeup().value_or(Instant::max()),
+                  m_control.NextWakeup().value_or(Instant::max()));
 }
 
 RelayStatus
@@ -125,7 +123,7 @@
   m_entry.OnFleetChanged();
 }
 
-/* Handle() advances all flows after every event. */
+/* Handle() advances the gate and the control flow after every event. */
 void
 RelayDecisions::HandleEvent(const RelayTimerDue& /*aEvent*/,
                             Instant /*aNow*/,
--- a/modules/cr_relay/event/cr_RelayTypes.h
+++ b/modules/cr_relay/event/cr_RelayTypes.h
@@ -52,9 +52,6 @@
   /** The request is a call that a backend server makes for one that it runs. */
   bool m_isChildCall = false;
   bool m_isIdempotent = false;
-  /** The sending node can send the request to another host if the backend
-     server runs it for far longer than usual. */
-  bool m_mayReplace = false;
   /** Generation of the configuration that is active at the sending node. */
   Generation m_generation = 0;
   /** Empty if the sending node does not report it. */
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
@@ -211,14 +211,6 @@
   ResolveAttempt(call, report, aNow, aActions);
 }
 
-void
-RelayEntryFlow::Advance(Instant aNow, RelayActions& aActions)
-{
-  while (const auto call = m_slowAttempts.TakeSlow(aNow)) {
-    ReplaceSlowAttempt(m_calls.at(*call), aNow, aActions);
-  }
-}
-
 void
 RelayEntryFlow::OnFleetChanged()
 {
@@ -299,66 +291,9 @@
   if (!aCall.m_isChildCall && admission != nullptr) {
     admission->End();
   }
-  m_slowAttempts.End(aCall.m_id);
   m_calls.erase(aCall.m_id);
 }
 
-/* Returns whether another host may run the child call instead of the one that
-   has it. */
-bool
-RelayEntryFlow::MayReplace(const Call& aCall, Instant aNow)
-{
-  if (!aCall.m_isChildCall || !aCall.m_route->m_idempotent ||
-      !m_shared.m_settings.m_hasOverloadControl ||
-      aCall.m_runs + 1 >= aCall.m_route->m_attempts ||
-      aCall.m_triedHosts.size() >= kMaxForwards ||
-      m_shared.m_suspects.IsRefused(aCall.m_content, aNow)) {
-    return false;
-  }
-  const auto path = m_shared.m_childCallPaths.find(aCall.m_route->m_name);
-  const bool isLoaded =
-    path != m_shared.m_childCallPaths.end() &&
-    path->second.m_load.Value(aNow) >= kMaxChildCallRetryLoad;
-  return !isLoaded && m_budget.HasRetry(aCall.m_service, aNow);
-}
-
-/* The gate replaces calls that its server runs for too long; this also helps if
-   the gate itself is slow or silent. */
-void
-RelayEntryFlow::ReplaceSlowAttempt(Call& aCall,
-                                   Instant aNow,
-                                   RelayActions& aActions)
-{
-  const auto router = m_shared.m_routers.find(aCall.m_service);
-  if (router == m_shared.m_routers.end() || !aCall.m_target ||
-      !MayReplace(aCall, aNow)) {
-    return;
-  }
-  auto target = ChooseTarget(aCall, router->second, aNow);
-  if (!target || target->m_host == aCall.m_target->m_host ||
-      !m_budget.TryConsumeRetry(aCall.m_service, aNow)) {
-    return;
-  }
-  aActions.emplace_back(
-    LogDecision{ "slow-attempt",
-                 aCall.m_id,
-                 fmt::format("\"host\":\"{}\",\"next\":\"{}\",\"route\":\"{}\","
-                             "\"sent_ms\":{},\"remaining_ms\":{},\"runs\":{}",
-                             aCall.m_target->m_host,
-                             target->m_host,
-                             aCall.m_route->m_name,
-                             ToMilliseconds(aNow - aCall.m_sent),
-                             ToMilliseconds(aCall.m_deadline - aNow),
-                             aCall.m_runs + 1) });
-  aActions.emplace_back(CancelForward{ aCall.m_id });
-  ++aCall.m_runs;
-  aCall.m_lastReason = Reason::DeadlineTooShort;
-  AttemptResult result;
-  result.m_latency = aNow - aCall.m_sent;
-  ReportAttempt(aCall, result, aNow);
-  SendAttempt(aCall, std::move(*target), aNow, aActions);
-}
-
 void
 RelayEntryFlow::SendNextAttempt(Call& aCall,
                                 Instant aNow,
@@ -375,16 +310,7 @@
     FinishUnanswered(aCall, aNow, aActions);
     return;
   }
-  SendAttempt(aCall, std::move(*target), aNow, aActions);
-}
-
-void
-RelayEntryFlow::SendAttempt(Call& aCall,
-                            RouteTarget&& aTarget,
-                            Instant aNow,
-                            RelayActions& aActions)
-{
-  aCall.m_triedHosts.push_back(aTarget.m_host);
+  aCall.m_triedHosts.push_back(target->m_host);
   aCall.m_sent = aNow;
   RelayHeader header;
   header.m_service = aCall.m_service;
@@ -402,18 +328,13 @@
   header.m_generation = m_shared.m_routes.ActiveGeneration();
   header.m_content = aCall.m_content;
   header.m_suspect = m_shared.m_suspects.Find(aCall.m_content, aNow);
-  const auto known = m_shared.m_serverReports.find(aTarget.m_host);
+  const auto known = m_shared.m_serverReports.find(target->m_host);
   if (known != m_shared.m_serverReports.end()) {
     header.m_knownServer = known->second;
   }
-  header.m_mayReplace = MayReplace(aCall, aNow);
-  if (header.m_mayReplace) {
-    m_slowAttempts.Begin(
-      aCall.m_id, aCall.m_route->m_name, aCall.m_deadline, aNow);
-  }
   aActions.emplace_back(
-    ForwardRequest{ aCall.m_id, aTarget.m_peer, std::move(header) });
-  aCall.m_target = std::move(aTarget);
+    ForwardRequest{ aCall.m_id, target->m_peer, std::move(header) });
+  aCall.m_target = std::move(target);
 }
 
 std::optional<RouteTarget>
@@ -451,7 +372,6 @@
                                Instant aNow,
                                RelayActions& aActions)
 {
-  m_slowAttempts.End(aCall.m_id);
   RecordLoad(aCall, aReport, aNow);
   RecordServer(aCall.m_target->m_host, aReport);
   if (aReport.m_suspect) {
@@ -465,8 +385,6 @@
     if (aCall.m_isChildCall) {
       m_shared.m_pattern.RecordCallTime(
         aCall.m_route->m_name, aNow - aCall.m_arrived, aNow);
-      m_slowAttempts.RecordTime(
-        aCall.m_route->m_name, aNow - aCall.m_sent, aNow);
     }
     aActions.emplace_back(RelayAnswer{ aCall.m_id });
     Finish(aCall);
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.h
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.h
@@ -45,9 +45,6 @@
               Instant aNow,
               RelayActions& aActions);
 
-  /** Sends slow child calls to another host. */
-  void Advance(Instant aNow, RelayActions& aActions);
-
   /** Adapts the retry budget to the present number of nodes. */
   void OnFleetChanged();
 
@@ -55,12 +52,6 @@
   /** Returns whether the request is in progress here. */
   bool Has(CallId aCall) const { return m_calls.contains(aCall); }
 
-  /** Returns when Advance() is due, if at all. */
-  std::optional<Instant> NextWakeup() const
-  {
-    return m_slowAttempts.NextWakeup();
-  }
-
   /** Returns the number of requests in progress. */
   std::size_t Size() const { return m_calls.size(); }
 
@@ -101,12 +92,6 @@
                       const RelayReport& aReport,
                       Instant aNow,
                       RelayActions& aActions);
-  void ReplaceSlowAttempt(Call& aCall, Instant aNow, RelayActions& aActions);
-  void SendAttempt(Call& aCall,
-                   RouteTarget&& aTarget,
-                   Instant aNow,
-                   RelayActions& aActions);
-  bool MayReplace(const Call& aCall, Instant aNow);
   bool MayRetry(const Call& aCall, const RelayReport& aReport, Instant aNow);
   bool MayRetryDispatched(const Call& aCall,
                           const RelayReport& aReport,
@@ -130,8 +115,6 @@
   ServiceRotation m_rotation;
   RetryBudget m_budget;
   std::unordered_map<CallId, Call> m_calls;
-  /* Of child calls. */
-  SlowAttempts m_slowAttempts;
   std::unordered_map<std::string, RouteAdmission> m_admissions;
   /* By the service that limits requests. */
   std::map<std::string, BottleneckShares, std::less<>> m_bottlenecks;
--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -109,7 +109,6 @@
   const bool isAnswered = aEvent.m_result == DispatchResult::Answered;
   if (isAnswered) {
     m_load.RecordTime(route, aNow - call.m_dispatched);
-    m_slowRuns.RecordTime(route, aNow - call.m_dispatched, aNow);
     m_shared.m_pattern.RecordRunTime(route, aNow - call.m_dispatched, aNow);
   } else {
     aActions.emplace_back(LogDecision{
@@ -139,11 +138,7 @@
   if (call.m_isCallerDisconnected) {
     Erase(aEvent.m_call);
   } else {
-    RelayReport report = ReportOf(aEvent.m_result);
-    if (call.m_isReplaced && aEvent.m_result == DispatchResult::TimedOut) {
-      report.m_reason = Reason::ConnectionLost;
-    }
-    Answer(aEvent.m_call, std::move(report), aNow, aActions);
+    Answer(aEvent.m_call, ReportOf(aEvent.m_result), aNow, aActions);
   }
   if (aEvent.m_result == DispatchResult::WrongServer ||
       (aEvent.m_result == DispatchResult::Unreachable && !isCancelled)) {
@@ -217,7 +212,6 @@
 RelayGateFlow::Advance(Instant aNow, RelayActions& aActions)
 {
   DecideCrash(aNow, aActions);
-  EndSlowRuns(aNow, aActions);
   RefuseLateSuspects(aNow, aActions);
   GateDecisions decisions;
   m_queue.Advance(aNow, decisions);
@@ -244,10 +238,8 @@
     healthCheck = m_nextHealthCheck;
   }
   std::optional<Instant> due = m_queue.NextWakeup();
-  for (const std::optional<Instant>& other : { healthCheck,
-                                               m_crashDetector.DecideBy(),
-                                               m_slowRuns.NextWakeup(),
-                                               NextSuspectTime() }) {
+  for (const std::optional<Instant>& other :
+       { healthCheck, m_crashDetector.DecideBy(), NextSuspectTime() }) {
     if (other) {
       due = std::min(due.value_or(Instant::max()), *other);
     }
@@ -376,9 +368,6 @@
   call.m_dispatched = aNow;
   call.m_server = m_announcements.Start();
   ++m_conditionDispatches;
-  if (call.m_header.m_mayReplace) {
-    m_slowRuns.Begin(aCall, call.m_header.m_route, call.m_deadline, aNow);
-  }
   m_shared.m_pattern.CountRun(call.m_header.m_route, aNow);
   aActions.emplace_back(DispatchRequest{ aCall,
                                          Server().m_id,
@@ -386,27 +375,6 @@
                                          call.m_header.m_isIdempotent });
 }
 
-/* An answer that was lost, or a server that is far slower than usual, would
-   keep a slot of the gate and the sending node waiting until the deadline. */
-void
-RelayGateFlow::EndSlowRuns(Instant aNow, RelayActions& aActions)
-{
-  while (const auto slow = m_slowRuns.TakeSlow(aNow)) {
-    Call& call = m_calls.at(*slow);
-    call.m_isReplaced = true;
-    aActions.emplace_back(
-      LogDecision{ "slow-run",
-                   *slow,
-                   fmt::format("\"route\":\"{}\",\"ran_ms\":{},"
-                               "\"remaining_ms\":{},\"running\":{}",
-                               call.m_header.m_route,
-                               ToMilliseconds(aNow - call.m_dispatched),
-                               ToMilliseconds(call.m_deadline - aNow),
-                               m_queue.Running()) });
-    aActions.emplace_back(CancelRelayDispatch{ *slow });
-  }
-}
-
 void
 RelayGateFlow::Answer(CallId aCall,
                       RelayReport aReport,
--- a/modules/cr_relay/flow/cr_RelayGateFlow.h
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.h
@@ -8,7 +8,6 @@
 
 #include "cr_relay/event/cr_RelayAction.h"
 #include "cr_relay/flow/cr_RelayShared.h"
-#include "cr_retry/cr_retry.h"
 
 namespace cr {
 
@@ -64,8 +63,7 @@
       @pre RelayShared::m_isLeaving is set. */
   void Close(Instant aNow, RelayActions& aActions);
 
-  /** Updates the queue, ends runs that take too long if another host can take
-      them, and checks the health of an absent server when due. */
+  /** Updates the queue, and checks the health of an absent server when due. */
   void Advance(Instant aNow, RelayActions& aActions);
 
   //==========================================================================
@@ -95,8 +93,6 @@
     /* The server to which the request was dispatched. */
     ServerStart m_server;
     bool m_isCallerDisconnected = false;
-    /* The run took too long; the sending node asks another host. */
-    bool m_isReplaced = false;
     /* The request is a suspect and passes through the suspect queue. */
     bool m_isSuspect = false;
     /* Until then it waits in the suspect queue. */
@@ -113,7 +109,6 @@
                       Instant aNow,
                       RelayActions& aActions);
   void Dispatch(CallId aCall, Instant aNow, RelayActions& aActions);
-  void EndSlowRuns(Instant aNow, RelayActions& aActions);
   void Enqueue(CallId aCall, Instant aNow, RelayActions& aActions);
   void Offer(CallId aCall, Instant aNow, RelayActions& aActions);
   bool PassSuspectCheck(CallId aCall, Instant aNow, RelayActions& aActions);
@@ -183,7 +178,6 @@
   Instant m_conditionSince;
   std::uint64_t m_conditionDispatches = 0;
   std::unordered_map<CallId, Call> m_calls;
-  SlowAttempts m_slowRuns;
   Instant m_nextQueueReport;
   /* Number of consecutive dispatches that reached no server. */
   int m_consecutiveUnreachable = 0;
--- a/modules/cr_relay/flow/cr_RelayGateFlowSuspects.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlowSuspects.cpp
@@ -323,7 +323,6 @@
 void
 RelayGateFlow::Erase(CallId aCall)
 {
-  m_slowRuns.End(aCall);
   const auto call = m_calls.find(aCall);
   if (call->second.m_isSuspect) {
     if (m_nextSuspect == aCall) {
--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -280,7 +280,6 @@
                  {},
                  {},
                  {},
-                 0,
                  {},
                  {} });
   aResponder.NotifyOnDisconnect([weak = weak_from_this(), call] {
--- a/modules/cr_relay_server/server/cr_RelayShell.h
+++ b/modules/cr_relay_server/server/cr_RelayShell.h
@@ -43,8 +43,6 @@
     /* Latest answer of the backend server or of the peer. */
     std::optional<HttpResponse> m_answer;
     HttpExchange m_forward;
-    /* Number of the latest forward; results of earlier ones are ignored. */
-    std::uint32_t m_forwardNumber = 0;
     HttpExchange m_dispatch;
     Endpoint m_peer;
   };
@@ -89,9 +87,7 @@
   void Execute(const LogDecision& aAction);
 
   std::vector<Suspect> ReadSuspects(std::string_view aText);
-  void OnForwardCompleted(CallId aCall,
-                          std::uint32_t aNumber,
-                          HttpResult&& aResult);
+  void OnForwardCompleted(CallId aCall, HttpResult&& aResult);
   void OnDispatchCompleted(CallId aCall, HttpResult&& aResult);
   std::optional<ServerCondition> ReadCondition(const HttpResult& aResult);
   std::optional<StoreEra> ReadStoreEra(const HttpResult& aResult);
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -117,22 +117,19 @@
     std::move(request),
     MakeSendOptions(aAction.m_header.m_remaining + kPeerAnswerMargin,
                     aAction.m_header.m_isIdempotent),
-    [weak = weak_from_this(),
-     call = aAction.m_call,
-     number = ++pending->m_forwardNumber](HttpResult aResult) {
+    [weak = weak_from_this(), call = aAction.m_call](HttpResult aResult) {
       if (const auto self = weak.lock()) {
-        self->OnForwardCompleted(call, number, std::move(aResult));
+        self->OnForwardCompleted(call, std::move(aResult));
       }
     });
 }
 
 void
 RelayServer::Implementation::OnForwardCompleted(CallId aCall,
-                                                std::uint32_t aNumber,
                                                 HttpResult&& aResult)
 {
   PendingCall* pending = FindPendingCall(aCall);
-  if (pending == nullptr || pending->m_forwardNumber != aNumber) {
+  if (pending == nullptr) {
     return;
   }
   if (const auto* failure = std::get_if<HttpFailure>(&aResult)) {
@@ -165,7 +162,6 @@
 RelayServer::Implementation::Execute(const CancelForward& aAction)
 {
   if (PendingCall* pending = FindPendingCall(aAction.m_call)) {
-    ++pending->m_forwardNumber;
     HttpExchange exchange = pending->m_forward;
     exchange.Cancel();
   }
--- a/modules/cr_retry/budget/cr_RetryBudget.cpp
+++ b/modules/cr_retry/budget/cr_RetryBudget.cpp
@@ -29,19 +29,7 @@
 bool
 RetryBudget::TryConsumeRetry(const std::string& aService, Instant aNow)
 {
-  if (!HasRetry(aService, aNow)) {
-    return false;
-  }
   Counts& counts = CountsOf(aService, aNow);
-  ++counts.m_retries.at(static_cast<std::size_t>(counts.m_step) %
-                        counts.m_retries.size());
-  return true;
-}
-
-bool
-RetryBudget::HasRetry(const std::string& aService, Instant aNow)
-{
-  const Counts& counts = CountsOf(aService, aNow);
   const auto sum = [](const auto& aSteps) {
     return static_cast<double>(
       std::accumulate(aSteps.begin(), aSteps.end(), std::uint64_t{ 0 }));
@@ -53,7 +41,12 @@
     0;
   const double allowed =
     m_limits.m_ratio * sum(requests) + m_limits.m_slack / m_nodes;
-  return sum(counts.m_retries) + 1 <= allowed;
+  if (sum(counts.m_retries) + 1 > allowed) {
+    return false;
+  }
+  ++counts.m_retries.at(static_cast<std::size_t>(counts.m_step) %
+                        counts.m_retries.size());
+  return true;
 }
 
 RetryBudget::Counts&
--- a/modules/cr_retry/budget/cr_RetryBudget.h
+++ b/modules/cr_retry/budget/cr_RetryBudget.h
@@ -49,9 +49,6 @@
       left. */
   bool TryConsumeRetry(const std::string& aService, Instant aNow);
 
-  /** Returns whether a retry is left. */
-  bool HasRetry(const std::string& aService, Instant aNow);
-
 private:
   static constexpr std::size_t kSteps = 20;
 
--- a/modules/cr_retry/cr_retry.h
+++ b/modules/cr_retry/cr_retry.h
@@ -4,8 +4,6 @@
     I/O and no clock. */
 
 #include "cr_retry/attempts/cr_AttemptBudget.h"
-#include "cr_retry/attempts/cr_AttemptTimes.h"
 #include "cr_retry/attempts/cr_RemainingAttempts.h"
-#include "cr_retry/attempts/cr_SlowAttempts.h"
 #include "cr_retry/budget/cr_RetryBudget.h"
 #include "cr_retry/quota/cr_RetryQuota.h"
