--- a/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayEntryFlowTest.cpp
@@ -287,6 +287,30 @@
   EXPECT_EQ(node.TakeRefusalStatus(), kGatewayTimeout);
 }
 
+/* A pipelined request that waited for its turn has less time left, and what it
+   waited counts against the route's timeout. */
+TEST(RelayEntryFlow, TimeThatARequestWaitedForItsTurnCounts)
+{
+  Entry node;
+  RequestArrived event;
+  event.m_call = CallId{ 1000 };
+  event.m_hostName = "shop";
+  event.m_target = "/status/9";
+  event.m_callerTimeout = Seconds(4);
+  event.m_waited = Milliseconds(1500);
+  node.Feed(event);
+  auto forwards = node.TakeActions<ForwardRequest>();
+  ASSERT_EQ(forwards.size(), 1U);
+  EXPECT_EQ(forwards[0].m_header.m_remaining, Milliseconds(2500));
+  // The objective of a second has passed, so it waits for no slot.
+  EXPECT_EQ(forwards[0].m_header.m_maxWait, Duration::zero());
+  event.m_call = CallId{ 1001 };
+  event.m_waited = Seconds(5);
+  node.Feed(event);
+  EXPECT_TRUE(node.TakeActions<ForwardRequest>().empty());
+  EXPECT_EQ(node.TakeRefusalStatus(), kUnavailable);
+}
+
 TEST(RelayEntryFlow, DisconnectedCustomerCancelsTheRequest)
 {
   Entry node;
