--- a/modules/cr_transport/http/cr_HttpConnection.cpp
+++ b/modules/cr_transport/http/cr_HttpConnection.cpp
@@ -356,7 +356,10 @@
 HttpConnection::OnReadTimer()
 {
   m_timerDue = Instant::max();
-  if (!m_isOpen || IoThreads::Now() < m_readDeadline) {
+  if (!m_isOpen) {
+    return;
+  }
+  if (IoThreads::Now() < m_readDeadline) {
     ArmReadTimer();
     return;
   }
