--- a/modules/cr_transport/http/cr_HttpConnection.cpp
+++ b/modules/cr_transport/http/cr_HttpConnection.cpp
@@ -194,11 +194,10 @@
   if (progress != HttpReadProgress::Complete) {
     return false;
   }
-  m_waiting.emplace();
-  m_waiting->m_read = m_reader.Take();
-  m_waiting->m_readAt = IoThreads::Now();
-  m_waiting->m_mayOverlap = m_server->m_mayOverlap &&
-                            m_server->m_mayOverlap(m_waiting->m_read.m_request);
+  HttpRequestReader::ReadRequest read = m_reader.Take();
+  const bool mayOverlap =
+    m_server->m_mayOverlap && m_server->m_mayOverlap(read.m_request);
+  m_waiting = WaitingRequest{ std::move(read), mayOverlap, IoThreads::Now() };
   return true;
 }
 
@@ -490,7 +489,7 @@
 }
 
 void
-HttpConnection::RemoveExchange(std::deque<Exchange>::iterator aExchange)
+HttpConnection::RemoveExchange(const std::deque<Exchange>::iterator& aExchange)
 {
   SetHeldBytes(*aExchange, 0);
   --m_server->m_inProgress;
--- a/modules/cr_transport/http/cr_HttpConnection.h
+++ b/modules/cr_transport/http/cr_HttpConnection.h
@@ -99,7 +99,7 @@
                           std::function<void()>&& aOnDisconnect);
   void WriteNextResponse();
   void OnResponseWritten(boost::beast::error_code aError, bool aKeepAlive);
-  void RemoveExchange(std::deque<Exchange>::iterator aExchange);
+  void RemoveExchange(const std::deque<Exchange>::iterator& aExchange);
   void SetHeldBytes(Exchange& aExchange, std::uint64_t aBytes);
   void SetReaderBytes(std::uint64_t aBytes);
   std::uint64_t WaitingResponseBytes() const;
