--- a/modules/cr_transport/tests/cr_HttpPipelineTest.cpp
+++ b/modules/cr_transport/tests/cr_HttpPipelineTest.cpp
@@ -99,7 +99,7 @@
     return aCondition();
   }
 
-  bool IsIdleSoon()
+  bool IsIdleSoon() const
   {
     return Eventually([&] { return m_server.RequestsInProgress() == 0; });
   }
