--- a/stand_ins/caller_stand_in/caller/cr_PipeliningCaller.cpp
+++ b/stand_ins/caller_stand_in/caller/cr_PipeliningCaller.cpp
@@ -63,7 +63,7 @@
 {
 public:
   Connection(IoThreads& aThreads,
-             std::vector<HttpRequest> aRequests,
+             std::span<const HttpRequest> aRequests,
              PipelineCallback aCallback)
     : m_count(aRequests.size())
     , m_callback(std::move(aCallback))
@@ -190,12 +190,11 @@
 void
 SendPipelined(IoThreads& aThreads,
               const Endpoint& aEndpoint,
-              std::vector<HttpRequest> aRequests,
+              std::span<const HttpRequest> aRequests,
               Duration aTimeout,
               PipelineCallback aCallback)
 {
-  std::make_shared<Connection>(
-    aThreads, std::move(aRequests), std::move(aCallback))
+  std::make_shared<Connection>(aThreads, aRequests, std::move(aCallback))
     ->Start(aEndpoint, aTimeout);
 }
 
--- a/stand_ins/caller_stand_in/caller/cr_PipeliningCaller.h
+++ b/stand_ins/caller_stand_in/caller/cr_PipeliningCaller.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <functional>
-#include <vector>
+#include <span>
 
 #include "cr_transport/cr_transport.h"
 
@@ -19,7 +19,7 @@
 void
 SendPipelined(IoThreads& aThreads,
               const Endpoint& aEndpoint,
-              std::vector<HttpRequest> aRequests,
+              std::span<const HttpRequest> aRequests,
               Duration aTimeout,
               PipelineCallback aCallback);
 
