--- a/modules/cr_transport/tests/cr_HttpPipelineTest.cpp
+++ b/modules/cr_transport/tests/cr_HttpPipelineTest.cpp
@@ -27,6 +27,12 @@
 constexpr Duration kLongWait = Seconds(10);
 constexpr Duration kSettleTime = Milliseconds(60);
 
+bool
+IsGet(const HttpRequest& aRequest)
+{
+  return aRequest.m_method == "GET";
+}
+
 /* A server whose requests are answered by the test. GET may overlap. */
 class HeldServer
 {
@@ -38,7 +44,7 @@
         [this](const HttpRequest& aRequest, const HttpResponder& aResponder) {
           Hold(aRequest, aResponder);
         },
-        [](const HttpRequest& aRequest) { return aRequest.m_method == "GET"; })
+        IsGet)
     , m_address(m_server.Listen({ "127.0.0.1", 0 }).value())
   {
   }
@@ -501,7 +507,7 @@
 }
 
 /* Plays one seed: a caller pipelines requests of both kinds, the server answers
-   in any order and at times closes, and the caller at times leaves. */
+   in any order and at times closes. */
 class RandomSchedule
 {
 public:
@@ -513,7 +519,7 @@
         [this](const HttpRequest& aRequest, const HttpResponder& aResponder) {
           Handle(aRequest, aResponder);
         },
-        [](const HttpRequest& aRequest) { return aRequest.m_method == "GET"; })
+        IsGet)
     , m_caller(m_server.Listen({ "127.0.0.1", 0 }).value())
   {
   }
@@ -526,11 +532,10 @@
 
   void Play()
   {
-    constexpr int requests = 40;
     const bool isClosedEarly = Draw(3) == 0;
-    const int closedAt = Draw(requests);
+    const int closedAt = Draw(kRequests);
     std::string text;
-    for (int number = 0; number < requests; ++number) {
+    for (int number = 0; number < kRequests; ++number) {
       const std::string target = "/" + std::to_string(number);
       text += Draw(4) == 0
                 ? "POST " + target + " HTTP/1.1\r\nContent-Length: 1\r\n\r\nb"
@@ -538,7 +543,7 @@
       if (isClosedEarly && number == closedAt) {
         m_server.CloseAfterResponses();
       }
-      if (Draw(3) == 0 || number + 1 == requests) {
+      if (Draw(3) == 0 || number + 1 == kRequests) {
         const std::size_t cut = text.size() - static_cast<std::size_t>(Draw(8));
         m_caller.Write(std::string_view(text).substr(0, cut));
         text.erase(0, cut);
@@ -546,7 +551,7 @@
     }
     m_caller.Write(text);
     const int answered = CountAnswers();
-    EXPECT_TRUE(answered == requests || m_isClosing || isClosedEarly);
+    EXPECT_TRUE(answered == kRequests || m_isClosing || isClosedEarly);
     // Whatever began was answered, and nothing began behind it.
     const std::lock_guard lock(m_mutex);
     EXPECT_EQ(static_cast<int>(m_begun.size()), answered);
@@ -554,6 +559,8 @@
   }
 
 private:
+  static constexpr int kRequests = 40;
+
   int Draw(int aBound)
   {
     const std::lock_guard lock(m_mutex);
@@ -563,9 +570,8 @@
   /* Reads until the last request is answered or the server has closed. */
   int CountAnswers()
   {
-    constexpr int requests = 40;
     int answered = 0;
-    while (answered < requests) {
+    while (answered < kRequests) {
       const std::string response = m_caller.ReadResponse();
       if (response.empty()) {
         break;
@@ -582,7 +588,7 @@
 
   void Handle(const HttpRequest& aRequest, const HttpResponder& aResponder)
   {
-    const bool isUnsafe = aRequest.m_method != "GET";
+    const bool isUnsafe = !IsGet(aRequest);
     const auto delay = Milliseconds(Draw(6));
     const bool closes = Draw(60) == 0;
     {
