--- a/review/stand_ins/stand_in.hh
+++ b/review/stand_ins/stand_in.hh
@@ -483,7 +483,14 @@
     Track(m_process, false);
     m_process = 0;
   }
-  // Resident and peak memory in MB.
+  bool IsRunning() {
+    if (m_process > 0 && waitpid(m_process, nullptr, WNOHANG) == m_process) {
+      Track(m_process, false);
+      m_process = 0;
+    }
+    return m_process > 0;
+  }
+  // Resident or peak memory in MB.
   double Memory(const char* field = "VmRSS:") const {
     std::ifstream status("/proc/" + std::to_string(m_process) + "/status");
     std::string word;
@@ -518,10 +525,12 @@
   // Runs a request and returns the response's bytes; empty: the answer is lost
   // and the connection reset.
   using Run = std::function<std::string(Instance&, const Message&)>;
-  Instance(Machine machine, std::string id, std::string service, int slots, Run run)
+  // clockMs: by how much the time of day of its machine is off.
+  Instance(Machine machine, std::string id, std::string service, int slots, Run run,
+           long long clockMs = 0)
     : m_machine(std::move(machine)), m_id(std::move(id)),
       m_service(std::move(service)), m_slots(slots), m_run(std::move(run)),
-      m_born(WallMs()),
+      m_born(WallMs() + clockMs),
       m_server(m_machine.ip, m_machine.App(),
                [this](const Message& m) { return Handle(m); }) {}
   ~Instance() { Stop(); }
@@ -543,7 +552,22 @@
       "},\"status\":{\"state\":\"" + state + "\",\"seq\":" +
       std::to_string(sequence) + ",\"coldLeftMs\":0}}");
   }
+  // Reports draining until the instance ends, and returns the first answer.
+  Message Leave() {
+    m_leaving = true;
+    if (m_beats.joinable()) m_beats.join();
+    Message answer = Beat(++m_sequence, "draining");
+    m_beats = std::thread([this] {
+      while (!m_stopped && !m_hasLeft) {
+        for (int i = 0; i < 30 && !m_stopped && !m_hasLeft; ++i) Sleep(0.05);
+        if (!m_stopped && !m_hasLeft) Beat(++m_sequence, "draining");
+      }
+    });
+    return answer;
+  }
+  long long Born() const { return m_born; }
   Message Delete() {
+    m_hasLeft = true;
     m_leaving = true;
     if (m_beats.joinable()) m_beats.join();
     return Tell("DELETE", "{\"born\":" + std::to_string(m_born) + "}");
@@ -603,7 +627,8 @@
   long long m_born;
   std::atomic<unsigned> m_sequence{ 0 };
   std::atomic<int> m_running{ 0 }, m_lastBeat{ 0 };
-  std::atomic<bool> m_leaving{ false }, m_stopped{ false };
+  std::atomic<bool> m_leaving{ false }, m_stopped{ false },
+    m_hasLeft{ false };
   std::thread m_beats;
   Server m_server;
 };
