--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-for source in review/stand_ins/*.cc; do
+for source in review/*.cc; do
   name=$(basename "$source" .cc)
   g++ -std=c++20 -O1 -Wall -pthread -I/usr/include/jsoncpp "$source" \
     -ljsoncpp -o "target/review/$name"
