--- a/review/route_after_reuse.cc
+++ b/review/route_after_reuse.cc
@@ -77,7 +77,7 @@
       fleet.At(0).On(), "i-0-second", "lager", 26, run);
     instances[0]->StartBeats();
   }
-  Sleep(6);
+  Sleep(15); // requests return to the machine by and by
   isSending = false;
   for (std::thread& client : clients) client.join();
   record.Line("the new instance's last heartbeat got status " +
