Log: server-state names the start time of the server

The line named the server but not its start, so a late announcement of the start that had left could not be told from a new start under the same name.

The log of the restarted node shows the start that it had acknowledged as leaving accepted as ready again, by an announcement. A health check and another node's report are ruled out: no line has that cause.

Conclusion: the new process does not know of the departure.

--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -30,6 +30,13 @@
   return aRateLimit ? fmt::format("{:.1f}", *aRateLimit) : "null";
 }
 
+/* Returns the time as a JSON value. */
+std::string
+ToText(std::optional<WallMilliseconds> aTime)
+{
+  return aTime ? std::to_string(*aTime) : "null";
+}
+
 }
 
 RelayGateFlow::RelayGateFlow(RelayShared& aShared)
@@ -421,10 +428,12 @@
     LogDecision{ "server-state",
                  std::nullopt,
                  fmt::format("\"cause\":\"{}\",\"stale\":{},\"server\":\"{}\","
-                             "\"service\":\"{}\",\"slots\":{},\"state\":\"{}\"",
+                             "\"start\":{},\"service\":\"{}\",\"slots\":{},"
+                             "\"state\":\"{}\"",
                              aCause,
                              aResult == AnnouncementResult::Stale,
                              Server().m_id,
+                             ToText(m_announcements.Start().m_startTime),
                              Server().m_service,
                              Server().m_slots,
                              ToText(Server().m_state)) });
