--- a/modules/cr_membership/announcement/cr_ServerAnnouncements.cpp
+++ b/modules/cr_membership/announcement/cr_ServerAnnouncements.cpp
@@ -80,6 +80,25 @@
   return Replace(std::move(server));
 }
 
+AnnouncementResult
+ServerAnnouncements::RestoreDeparture(const ServerStart& aStart)
+{
+  const bool isLater =
+    aStart.m_startTime && m_startTime && *aStart.m_startTime > *m_startTime;
+  if (!m_server.m_id.empty() && !isLater && !MayBeSame(aStart, Start())) {
+    return AnnouncementResult::Stale;
+  }
+  if (isLater || !m_startTime) {
+    m_startTime = aStart.m_startTime;
+    m_startTimeServer = aStart.m_id;
+    m_sequence.reset();
+  }
+  AnnouncedServer left = m_server;
+  left.m_id = aStart.m_id;
+  left.m_state = ServerState::Leaving;
+  return Replace(std::move(left));
+}
+
 AnnouncementResult
 ServerAnnouncements::MarkUnreachable()
 {
@@ -97,6 +116,13 @@
            m_startTimeServer == m_server.m_id ? m_startTime : std::nullopt };
 }
 
+std::optional<ServerStart>
+ServerAnnouncements::Departure() const
+{
+  return m_server.m_state == ServerState::Leaving ? std::optional(Start())
+                                                  : std::nullopt;
+}
+
 //==============================================================================
 AnnouncementResult
 ServerAnnouncements::Replace(AnnouncedServer aServer)
--- a/modules/cr_membership/announcement/cr_ServerAnnouncements.h
+++ b/modules/cr_membership/announcement/cr_ServerAnnouncements.h
@@ -66,6 +66,10 @@
       another name. */
   AnnouncementResult OnHealthCheck(const AnnouncedServer& aServer);
 
+  /** Adopts a departure that a former process of the node has recorded. Stale
+      if a later start is known. */
+  AnnouncementResult RestoreDeparture(const ServerStart& aStart);
+
   /** Marks a ready server as absent because it can't be reached. It stays
       absent until the next announcement or successful health check. */
   AnnouncementResult MarkUnreachable();
@@ -78,6 +82,9 @@
       none. */
   ServerStart Start() const;
 
+  /** Returns the start that is leaving; empty if the server is not. */
+  std::optional<ServerStart> Departure() const;
+
 private:
   AnnouncementResult Replace(AnnouncedServer aServer);
 
--- a/modules/cr_membership/rows/cr_NodeRow.cpp
+++ b/modules/cr_membership/rows/cr_NodeRow.cpp
@@ -22,6 +22,10 @@
 constexpr Json::ArrayIndex kService = 7;
 constexpr Json::ArrayIndex kState = 8;
 constexpr Json::ArrayIndex kMemberCount = 9;
+/* Only in the row of a host whose backend server is known to leave. */
+constexpr Json::ArrayIndex kDepartedServer = 9;
+constexpr Json::ArrayIndex kDepartedStart = 10;
+constexpr Json::ArrayIndex kMemberCountWithDeparture = 11;
 
 std::string
 ReadText(const Json::Value& aValue)
@@ -33,6 +37,19 @@
   return text;
 }
 
+ServerStart
+ReadDeparture(const Json::Value& aValue)
+{
+  ServerStart departure{ ReadText(aValue[kDepartedServer]), std::nullopt };
+  if (!aValue[kDepartedStart].isNull()) {
+    departure.m_startTime = aValue[kDepartedStart].asInt64();
+  }
+  if (departure.m_id.empty()) {
+    throw Json::RuntimeError("the server that leaves has no name");
+  }
+  return departure;
+}
+
 NodeRow
 ReadRow(const Json::Value& aValue)
 {
@@ -46,6 +63,9 @@
                { ReadText(aValue[kAddress]), static_cast<std::uint16_t>(port) },
                ReadText(aValue[kService]),
                static_cast<ServerState>(state) };
+  if (aValue.size() == kMemberCountWithDeparture) {
+    row.m_departure = ReadDeparture(aValue);
+  }
   if (row.m_host.empty() || port == 0 || port > UINT16_MAX ||
       state >= kStateNames.size()) {
     throw Json::RuntimeError("a member of a node's row is out of range");
@@ -82,14 +102,22 @@
   value.append(aRow.m_peer.m_port);
   value.append(aRow.m_service);
   value.append(static_cast<Json::UInt>(aRow.m_state));
+  if (aRow.m_departure) {
+    const auto& startTime = aRow.m_departure->m_startTime;
+    value.append(aRow.m_departure->m_id);
+    value.append(startTime ? Json::Value(Json::Int64(*startTime))
+                           : Json::Value());
+  }
   return value;
 }
 
 Expected<NodeRow>
 ParseNodeRow(const Json::Value& aValue)
 {
-  if (!aValue.isArray() || aValue.size() != kMemberCount) {
-    return Failure(ErrorCode::Malformed, "a node's row is not a list of nine");
+  if (!aValue.isArray() || (aValue.size() != kMemberCount &&
+                            aValue.size() != kMemberCountWithDeparture)) {
+    return Failure(ErrorCode::Malformed,
+                   "a node's row is not a list of nine or eleven");
   }
   return DecodeJson(aValue, ReadRow);
 }
--- a/modules/cr_membership/rows/cr_NodeRow.h
+++ b/modules/cr_membership/rows/cr_NodeRow.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "cr_membership/announcement/cr_ServerCondition.h"
 #include "cr_settings/cr_settings.h"
 #include "cr_store/cr_store.h"
 
@@ -32,6 +34,9 @@
   Endpoint m_peer;
   std::string m_service;
   ServerState m_state = ServerState::Absent;
+  /** The start of the backend server that is known to leave; a node that
+      restarts learns it from the row of its former process. */
+  std::optional<ServerStart> m_departure{};
 
   bool operator==(const NodeRow&) const = default;
 };
@@ -49,7 +54,8 @@
 inline constexpr std::string_view kNodeTable = "nodes";
 
 /** Encodes a node's row as a JSON list without member names, the form in which
-    rows are sent. Thread safe. */
+    rows are sent. The list is longer only if the row has a departure. Thread
+    safe. */
 Json::Value
 ToJson(const NodeRow& aRow);
 
--- a/modules/cr_membership/tests/cr_ServerAnnouncementsTest.cpp
+++ b/modules/cr_membership/tests/cr_ServerAnnouncementsTest.cpp
@@ -99,6 +99,50 @@
   EXPECT_EQ(announcements.Server().m_slots, 25U);
 }
 
+/* DRAIN: a restarted node may hear an earlier announcement first. */
+TEST(ServerAnnouncements, RestoredDepartureHoldsForItsStartOnly)
+{
+  ServerAnnouncements announcements;
+  announcements.Announce(Announcement("a", 1000, 1));
+  EXPECT_EQ(announcements.RestoreDeparture({ "a", 1000 }),
+            AnnouncementResult::Changed);
+  announcements.Announce(Announcement("a", 1000, 2));
+  EXPECT_EQ(announcements.Departure(), (ServerStart{ "a", 1000 }));
+  announcements.Announce(Announcement("a", 2000, 0));
+  EXPECT_EQ(announcements.Departure(), std::nullopt);
+  EXPECT_EQ(announcements.RestoreDeparture({ "a", 1000 }),
+            AnnouncementResult::Stale);
+  EXPECT_EQ(announcements.RestoreDeparture({ "b", std::nullopt }),
+            AnnouncementResult::Stale);
+  EXPECT_EQ(announcements.Server().m_state, ServerState::Ready);
+  announcements.RestoreDeparture({ "b", 3000 });
+  announcements.Announce(Announcement("a", 2000, 1));
+  announcements.Announce(Announcement("b", 3000, 1));
+  EXPECT_EQ(announcements.Departure(), (ServerStart{ "b", 3000 }));
+}
+
+TEST(NodeRow, DepartureIsReadFromTheRowOfALeavingServer)
+{
+  NodeRow row;
+  row.m_host = "host-1";
+  row.m_peer = { "127.0.0.1", 1 };
+  row.m_state = ServerState::Leaving;
+  EXPECT_EQ(EncodeNodeRow(row), R"(["host-1",0,0,"","","127.0.0.1",1,"",2])");
+  EXPECT_EQ(DecodeNodeRow(EncodeNodeRow(row)).value(), row);
+  for (const ServerStart& start :
+       { ServerStart{ "i-\"1", 1796522401911 }, { "i-1", std::nullopt } }) {
+    row.m_departure = start;
+    EXPECT_EQ(DecodeNodeRow(EncodeNodeRow(row)).value(), row);
+  }
+  for (const char* text :
+       { R"(["host-1",0,0,"","","127.0.0.1",1,"",2,"a"])",
+         R"(["host-1",0,0,"","","127.0.0.1",1,"",2,"a",1,2])",
+         R"(["host-1",0,0,"","","127.0.0.1",1,"",2,"",1])",
+         R"(["host-1",0,0,"","","127.0.0.1",1,"",2,"a","x"])" }) {
+    EXPECT_FALSE(DecodeNodeRow(text)) << text;
+  }
+}
+
 TEST(FleetDirectory, ChangesReplaceRowsAndUnreadableRowsAreLeftOut)
 {
   FleetDirectory directory;
--- a/modules/cr_relay/decisions/cr_RelayDecisions.cpp
+++ b/modules/cr_relay/decisions/cr_RelayDecisions.cpp
@@ -35,7 +35,7 @@
   RelayActions actions;
   std::visit([&](const auto& aTyped) { HandleEvent(aTyped, aNow, actions); },
              aEvent);
-  m_control.SetServer(m_gate.Server());
+  m_control.SetServer(m_gate.Server(), m_gate.Departure());
   m_gate.Advance(aNow, actions);
   m_control.Advance(aNow, actions);
   ProcessLocalActions(std::move(actions), aNow, aActions);
@@ -114,12 +114,37 @@
   }
 }
 
+void
+RelayDecisions::HandleEvent(const BackendAnnounced& aEvent,
+                            Instant aNow,
+                            RelayActions& aActions)
+{
+  m_gate.Handle(aEvent, aNow, aActions);
+  if (aEvent.m_announcement.m_isLeaving) {
+    m_control.AnswerWhenStored(aEvent.m_call, aNow);
+  } else {
+    aActions.emplace_back(AnswerServer{ aEvent.m_call });
+  }
+}
+
+void
+RelayDecisions::HandleEvent(const BackendLeft& aEvent,
+                            Instant aNow,
+                            RelayActions& aActions)
+{
+  m_gate.Handle(aEvent, aNow, aActions);
+  m_control.AnswerWhenStored(aEvent.m_call, aNow);
+}
+
 void
 RelayDecisions::HandleEvent(const RelayStoreAnswered& aEvent,
                             Instant aNow,
                             RelayActions& aActions)
 {
   m_control.Handle(aEvent, aNow, aActions);
+  if (m_control.HasReadNodes()) {
+    m_gate.OnNodesRead(aNow, aActions);
+  }
   m_entry.OnFleetChanged();
 }
 
--- a/modules/cr_relay/decisions/cr_RelayDecisions.h
+++ b/modules/cr_relay/decisions/cr_RelayDecisions.h
@@ -68,6 +68,12 @@
   void HandleEvent(const RelayCallerDisconnected& aEvent,
                    Instant aNow,
                    RelayActions& aActions);
+  void HandleEvent(const BackendAnnounced& aEvent,
+                   Instant aNow,
+                   RelayActions& aActions);
+  void HandleEvent(const BackendLeft& aEvent,
+                   Instant aNow,
+                   RelayActions& aActions);
   void HandleEvent(const RelayStoreAnswered& aEvent,
                    Instant aNow,
                    RelayActions& aActions);
--- a/modules/cr_relay/event/cr_RelayAction.h
+++ b/modules/cr_relay/event/cr_RelayAction.h
@@ -77,6 +77,14 @@
   RelayReport m_report;
 };
 
+/** Answers an announcement or a departure of the backend server. */
+struct AnswerServer
+{
+  CallId m_call{};
+  /** False if the node does not acknowledge the message. */
+  bool m_isAcknowledged = true;
+};
+
 /** Requests the health path of the backend server. The shell reports
     HealthChecked. */
 struct CheckHealth
@@ -136,6 +144,7 @@
                                  RelayAnswer,
                                  RefuseRequest,
                                  AnswerPeer,
+                                 AnswerServer,
                                  CheckHealth,
                                  RelayCallStore,
                                  ReadRoutes,
--- a/modules/cr_relay/event/cr_RelayEvent.h
+++ b/modules/cr_relay/event/cr_RelayEvent.h
@@ -71,17 +71,19 @@
   bool m_isServerGone = false;
 };
 
-/** The backend server announced its state. */
+/** The backend server announced its state. AnswerServer follows. */
 struct BackendAnnounced
 {
   ServerAnnouncement m_announcement;
+  CallId m_call{};
 };
 
-/** The backend server announced its departure. */
+/** The backend server announced its departure. AnswerServer follows. */
 struct BackendLeft
 {
   std::string m_id;
   std::optional<WallMilliseconds> m_born;
+  CallId m_call{};
 };
 
 /** A health check of the backend server ended, with or without an answer. */
--- a/modules/cr_relay/flow/cr_RelayControlFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.cpp
@@ -15,6 +15,9 @@
 /* A written row that the cached table does not show after this time is written
    again. */
 constexpr Duration kRowVisibilityTimeout = Seconds(3);
+/* Max time until a message in which the backend server says that it leaves is
+   answered; servers wait a second. */
+constexpr Duration kLeaveAnswerTimeout = Milliseconds(700);
 /* A host that is unreachable for this long is considered permanently lost. A
    restarting host is back sooner, and writes its row again in any case. */
 constexpr Duration kRowRemovalDelay = Seconds(10);
@@ -159,7 +162,8 @@
 }
 
 void
-RelayControlFlow::SetServer(const AnnouncedServer& aServer)
+RelayControlFlow::SetServer(const AnnouncedServer& aServer,
+                            const std::optional<ServerStart>& aDeparture)
 {
   const ServerState state =
     m_shared.m_isLeaving && aServer.m_state == ServerState::Ready
@@ -168,15 +172,23 @@
   const std::string& service = aServer.m_service.empty()
                                  ? m_shared.m_settings.m_service
                                  : aServer.m_service;
-  if (m_ownRow.m_state == state && m_ownRow.m_service == service) {
+  if (m_ownRow.m_state == state && m_ownRow.m_service == service &&
+      m_ownRow.m_departure == aDeparture) {
     return;
   }
   m_ownRow.m_state = state;
   m_ownRow.m_service = service;
+  m_ownRow.m_departure = aDeparture;
   ++m_ownRow.m_revision;
   m_isRowWritten = false;
 }
 
+void
+RelayControlFlow::AnswerWhenStored(CallId aCall, Instant aNow)
+{
+  m_pendingLeaves.push_back({ aCall, aNow });
+}
+
 void
 RelayControlFlow::Advance(Instant aNow, RelayActions& aActions)
 {
@@ -191,6 +203,7 @@
   AskRandomPeerForRoutes(aNow, aActions);
   WriteOwnRow(aNow, aActions);
   RemoveUnreachableRow(aNow, aActions);
+  AnswerLeaves(aNow, aActions);
 }
 
 std::optional<Instant>
@@ -208,6 +221,10 @@
   if (IsLoaded()) {
     due = std::min(due, m_nextRandomFetch);
   }
+  if (!m_pendingLeaves.empty()) {
+    due =
+      std::min(due, m_pendingLeaves.front().m_arrived + kLeaveAnswerTimeout);
+  }
   if (!m_nodes.IsScanning() && m_shared.m_directory.HasLostRows()) {
     due = std::min(due, m_keepLostRowsUntil);
   }
@@ -571,4 +588,37 @@
            : m_ownRow.m_state == ServerState::Absent;
 }
 
+/* The platform may have stored the row before the cached table shows it. */
+bool
+RelayControlFlow::IsOwnRowStored() const
+{
+  return IsOwnRowCurrent() || (m_isRowWritten && !m_isWritingRow);
+}
+
+void
+RelayControlFlow::AnswerLeaves(Instant aNow, RelayActions& aActions)
+{
+  if (m_pendingLeaves.empty()) {
+    return;
+  }
+  const bool isStored = IsOwnRowStored();
+  std::erase_if(m_pendingLeaves, [&](const PendingLeave& aLeave) {
+    const Duration held = aNow - aLeave.m_arrived;
+    if (!isStored && held < kLeaveAnswerTimeout) {
+      return false;
+    }
+    aActions.emplace_back(AnswerServer{ aLeave.m_call, isStored });
+    aActions.emplace_back(LogDecision{
+      "leave-answered",
+      std::nullopt,
+      fmt::format("\"acknowledged\":{},\"held_ms\":{},\"state\":\"{}\","
+                  "\"revision\":{}",
+                  isStored,
+                  ToMilliseconds(held),
+                  ToText(m_ownRow.m_state),
+                  m_ownRow.m_revision) });
+    return true;
+  });
+}
+
 }
--- a/modules/cr_relay/flow/cr_RelayControlFlow.h
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.h
@@ -56,8 +56,15 @@
                         RelayActions& aActions);
 
   /** Sets the state of the host's backend server that the node's own row
-      publishes. */
-  void SetServer(const AnnouncedServer& aServer);
+      publishes, and the start that is leaving, if any. */
+  void SetServer(const AnnouncedServer& aServer,
+                 const std::optional<ServerStart>& aDeparture);
+
+  /** Answers a message in which the backend server says that it leaves. It is
+      acknowledged once the platform has stored the own row in its present
+      state: a process that starts after this one learns the departure from the
+      row. If that takes too long, the message is not acknowledged. */
+  void AnswerWhenStored(CallId aCall, Instant aNow);
 
   /** Sends the requests to the platform that are due. */
   void Advance(Instant aNow, RelayActions& aActions);
@@ -72,6 +79,10 @@
   /** Returns whether the fleet and the routes are loaded. */
   bool IsLoaded() const;
 
+  /** Returns whether the table of the nodes has been read, and with it the row
+      that a former process of this node has written. */
+  bool HasReadNodes() const { return m_nodes.IsLoaded(); }
+
   /** Returns whether the platform answered the latest requests. */
   bool IsPlatformReachable() const;
 
@@ -86,6 +97,13 @@
   };
   static constexpr std::size_t kClientCount = 4;
 
+  /* A message of the backend server that waits for its answer. */
+  struct PendingLeave
+  {
+    CallId m_call{};
+    Instant m_arrived;
+  };
+
   void Call(Client aClient, StoreRequest aRequest, RelayActions& aActions);
   void ApplyNodeChanges(const TableChanges& aTableChanges,
                         Instant aNow,
@@ -108,6 +126,8 @@
   void LogPlatformReachability(RelayActions& aActions);
   bool CanRemoveRows() const;
   bool IsOwnRowCurrent() const;
+  bool IsOwnRowStored() const;
+  void AnswerLeaves(Instant aNow, RelayActions& aActions);
   Instant RemovalTime(const HostName& aHost, Instant aUnreachableSince) const;
 
   RelayShared& m_shared;
@@ -134,6 +154,7 @@
      show it yet. */
   bool m_isRowWritten = false;
   Instant m_rowWritten = Instant::min();
+  std::vector<PendingLeave> m_pendingLeaves;
 
   bool m_isFetchingPeerRoutes = false;
   /* Another node has been asked since the start, or there is none to ask. */
--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 #include <fmt/format.h>
 
@@ -20,6 +21,9 @@
 /* Time between health checks of an absent server; half of the usual time
    between announcements of a server. */
 constexpr Duration kHealthCheckInterval = Milliseconds(700);
+/* Time that the platform gets to answer a started node before a health check
+   must tell whether the server is leaving. */
+constexpr Duration kRowReadTimeout = Seconds(1);
 /* Time between log lines on the queue. */
 constexpr Duration kQueueReportInterval = Seconds(1);
 
@@ -207,6 +211,28 @@
       *aEvent.m_condition != m_condition) {
     SetCondition(*aEvent.m_condition, "health", aNow, aActions);
   }
+  if (!m_isDepartureKnown && aNow >= m_rowReadDeadline &&
+      aEvent.m_id == Server().m_id) {
+    OnDepartureKnown("health", aNow, aActions);
+  }
+}
+
+void
+RelayGateFlow::OnNodesRead(Instant aNow, RelayActions& aActions)
+{
+  if (std::exchange(m_hasReadOwnRow, true)) {
+    return;
+  }
+  const NodeRow* row = m_shared.m_directory.Find(m_shared.m_settings.m_host);
+  if (row != nullptr && row->m_departure) {
+    OnServerChange(m_announcements.RestoreDeparture(*row->m_departure),
+                   "row",
+                   aNow,
+                   aActions);
+  }
+  if (!m_isDepartureKnown) {
+    OnDepartureKnown("row", aNow, aActions);
+  }
 }
 
 void
@@ -224,7 +250,10 @@
   m_queue.Advance(aNow, decisions);
   ApplyDecisions(decisions, aNow, aActions);
   RunNextSuspect(aNow, aActions);
-  if (Server().m_state == ServerState::Absent && aNow >= m_nextHealthCheck) {
+  if (m_rowReadDeadline == Instant::max()) {
+    m_rowReadDeadline = aNow + kRowReadTimeout;
+  }
+  if (aNow >= HealthCheckTime().value_or(Instant::max())) {
     RequestHealthCheck(aNow, aActions);
   }
 }
@@ -239,11 +268,8 @@
 std::optional<Instant>
 RelayGateFlow::NextWakeup() const
 {
-  std::optional<Instant> healthCheck;
-  if (Server().m_state == ServerState::Absent &&
-      FindServiceToCheck() != nullptr) {
-    healthCheck = m_nextHealthCheck;
-  }
+  const std::optional<Instant> healthCheck =
+    FindServiceToCheck() != nullptr ? HealthCheckTime() : std::nullopt;
   std::optional<Instant> due = m_queue.NextWakeup();
   for (const std::optional<Instant>& other :
        { healthCheck, m_crashDetector.DecideBy(), NextSuspectTime() }) {
@@ -274,6 +300,32 @@
   }
 }
 
+/* Returns when the health of the server is to be checked next; nothing while
+   its state does not depend on it. */
+std::optional<Instant>
+RelayGateFlow::HealthCheckTime() const
+{
+  if (Server().m_state == ServerState::Absent) {
+    return m_nextHealthCheck;
+  }
+  if (Server().m_state == ServerState::Ready && !m_isDepartureKnown) {
+    return std::max(m_nextHealthCheck, m_rowReadDeadline);
+  }
+  return std::nullopt;
+}
+
+/* Opens the gate if the server has announced itself meanwhile. */
+void
+RelayGateFlow::OnDepartureKnown(std::string_view aCause,
+                                Instant aNow,
+                                RelayActions& aActions)
+{
+  m_isDepartureKnown = true;
+  if (Server().m_state == ServerState::Ready) {
+    OnServerChange(AnnouncementResult::Changed, aCause, aNow, aActions);
+  }
+}
+
 /* Returns the configured service of the host if its server may be checked;
    null if it is unknown, or a health check is in progress. */
 const RoutedService*
@@ -291,8 +343,8 @@
 bool
 RelayGateFlow::IsOpen() const
 {
-  return Server().m_state == ServerState::Ready && !m_shared.m_isLeaving &&
-         Server().m_slots > 0;
+  return Server().m_state == ServerState::Ready && m_isDepartureKnown &&
+         !m_shared.m_isLeaving && Server().m_slots > 0;
 }
 
 /* Returns the most loaded service on the path of the route's requests, the
--- a/modules/cr_relay/flow/cr_RelayGateFlow.h
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.h
@@ -20,7 +20,13 @@
     not dispatched, or that the server itself reports as not run.
 
     Requests during which servers crashed run one after the other or are
-    refused. @see SuspectTable. Not thread safe. */
+    refused. @see SuspectTable.
+
+    A former process of the node may have acknowledged that the server leaves,
+    and an earlier announcement may arrive only now. So the gate of a started
+    node stays closed until the node has read the row of that process, or, if
+    the platform does not answer, until the server has passed a health check.
+    Not thread safe. */
 class RelayGateFlow
 {
 public:
@@ -59,6 +65,10 @@
               Instant aNow,
               RelayActions& aActions);
 
+  /** Called when the node table has been read. The first call adopts the
+      departure in this node's own row, which a former process has written. */
+  void OnNodesRead(Instant aNow, RelayActions& aActions);
+
   /** Closes the gate permanently; running requests continue.
       @pre RelayShared::m_isLeaving is set. */
   void Close(Instant aNow, RelayActions& aActions);
@@ -70,6 +80,12 @@
   /** Returns the known state of the backend server. */
   const AnnouncedServer& Server() const { return m_announcements.Server(); }
 
+  /** Returns the start of the backend server that is leaving, if it is. */
+  std::optional<ServerStart> Departure() const
+  {
+    return m_announcements.Departure();
+  }
+
   /** Returns the queue, for status reports. */
   const SlotQueue& Queue() const { return m_queue; }
 
@@ -102,6 +118,10 @@
   const RoutedService* FindServiceToCheck() const;
   void RequestHealthCheck(Instant aNow, RelayActions& aActions);
   bool IsOpen() const;
+  std::optional<Instant> HealthCheckTime() const;
+  void OnDepartureKnown(std::string_view aCause,
+                        Instant aNow,
+                        RelayActions& aActions);
   PathBottleneck FindBottleneck(const std::string& aRoute, Instant aNow) const;
   void ReportQueue(Instant aNow, RelayActions& aActions);
   double SlotLoad(Instant aNow) const;
@@ -189,6 +209,11 @@
   ServerStart m_brokenServer;
   bool m_isCheckingHealth = false;
   Instant m_nextHealthCheck = Instant::min();
+  bool m_hasReadOwnRow = false;
+  /* It is known whether a former process recorded that the server leaves. */
+  bool m_isDepartureKnown = false;
+  /* From then on a health check tells it, if the row has not been read. */
+  Instant m_rowReadDeadline = Instant::max();
 };
 
 }
--- a/modules/cr_relay/tests/cr_RelayControlFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayControlFlowTest.cpp
@@ -24,6 +24,67 @@
   EXPECT_EQ(node.OwnRow()->m_state, ServerState::Leaving);
 }
 
+/* DRAIN: a node that ends after the acknowledgement must have left its
+   successor a record of the departure. */
+TEST(RelayControlFlow, LeaveIsAcknowledgedOnceThePlatformHasStoredIt)
+{
+  Control node;
+  node.Announce(10);
+  node.AnswerStoreCalls();
+  ASSERT_EQ(node.TakeActions<AnswerServer>().size(), 1U);
+  node.Announce(10, 2, true);
+  EXPECT_TRUE(node.TakeActions<AnswerServer>().empty());
+  node.AnswerStoreCalls();
+  const auto answers = node.TakeActions<AnswerServer>();
+  ASSERT_EQ(answers.size(), 1U);
+  EXPECT_TRUE(answers[0].m_isAcknowledged);
+  EXPECT_EQ(node.OwnRow()->m_departure, (ServerStart{ "server-1", 1000 }));
+  // A repetition changes nothing and is answered at once.
+  node.Announce(10, 3, true);
+  EXPECT_EQ(node.TakeActions<AnswerServer>().size(), 1U);
+}
+
+/* DRAIN: the platform does not answer. */
+TEST(RelayControlFlow, LeaveThatThePlatformDoesNotStoreIsNotAcknowledged)
+{
+  Control node;
+  node.Announce(10);
+  node.AnswerStoreCalls();
+  node.TakeActions<AnswerServer>();
+  node.Announce(10, 2, true);
+  ASSERT_LE(node.m_decisions.NextWakeup(), node.m_now + Milliseconds(800));
+  node.m_now = node.m_decisions.NextWakeup();
+  while (node.m_now < Instant(Seconds(101))) {
+    node.Feed(RelayTimerDue{});
+    node.m_now += Milliseconds(50);
+  }
+  const auto answers = node.TakeActions<AnswerServer>();
+  ASSERT_EQ(answers.size(), 1U);
+  EXPECT_FALSE(answers[0].m_isAcknowledged);
+  node.AnswerStoreCalls();
+  node.Announce(10, 3, true);
+  const auto later = node.TakeActions<AnswerServer>();
+  ASSERT_EQ(later.size(), 1U);
+  EXPECT_TRUE(later[0].m_isAcknowledged);
+}
+
+/* The answer to the write is lost, but the table shows the row. */
+TEST(RelayControlFlow, LeaveInTheTableIsAcknowledgedThoughTheWriteHasNoAnswer)
+{
+  Control node;
+  node.Announce(10);
+  node.AnswerStoreCalls();
+  node.TakeActions<AnswerServer>();
+  node.Announce(10, 2, true);
+  const auto calls = node.TakeActions<RelayCallStore>();
+  ASSERT_EQ(calls.size(), 1U);
+  node.m_platform.Execute(calls[0].m_request);
+  node.AnswerStoreCalls();
+  const auto answers = node.TakeActions<AnswerServer>();
+  ASSERT_EQ(answers.size(), 1U);
+  EXPECT_TRUE(answers[0].m_isAcknowledged);
+}
+
 /* While a fleet starts, every row without a backend server would be an update
    for all other nodes, without use. */
 TEST(RelayControlFlow, HostWithoutAServerWritesItsRowOnlyToCorrectIt)
--- a/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
@@ -14,6 +14,7 @@
   explicit Gate(std::uint32_t aSlots)
   {
     AdoptRoutes(1, { Route("orders", true) });
+    AdoptNodes("orders", {});
     Announce(aSlots);
   }
 
@@ -350,6 +351,7 @@
   RelayTestNode node;
   node.PeerRequest(true);
   EXPECT_EQ(node.TakeActions<AnswerPeer>().size(), 1U);
+  node.AdoptNodes("orders", {});
   node.AdoptRoutes(1, { RelayTestNode::Route("orders", true) });
   ASSERT_EQ(node.TakeActions<CheckHealth>().size(), 1U);
   node.Feed(HealthChecked{ true, "server-1", 4 });
--- a/modules/cr_relay/tests/cr_RelayTestMesh.cpp
+++ b/modules/cr_relay/tests/cr_RelayTestMesh.cpp
@@ -53,16 +53,30 @@
 void
 RelayTestMesh::Announce(std::size_t aHost)
 {
-  Host& host = m_hosts[aHost];
+  AnnounceLate(aHost, ++m_hosts[aHost].m_sequence);
+}
+
+void
+RelayTestMesh::AnnounceLate(std::size_t aHost, std::uint64_t aSequence)
+{
+  const Host& host = m_hosts[aHost];
   ServerAnnouncement announcement;
   announcement.m_id = host.m_server;
   announcement.m_service = "orders";
   announcement.m_slots = kSlots;
   announcement.m_startTime = host.m_serverStart;
-  announcement.m_sequence = ++host.m_sequence;
+  announcement.m_sequence = aSequence;
   Feed(aHost, BackendAnnounced{ announcement });
 }
 
+void
+RelayTestMesh::Depart(std::size_t aHost)
+{
+  Host& host = m_hosts[aHost];
+  host.m_hasDeparted = true;
+  Feed(aHost, BackendLeft{ host.m_server, host.m_serverStart });
+}
+
 void
 RelayTestMesh::Send(std::size_t aHost,
                     const std::string& aTarget,
@@ -226,8 +240,8 @@
         Feed(aHost, refused);
         return;
       }
-      const bool isHealthy =
-        !host.m_condition.m_isLeaving || host.m_hasFalseHealth;
+      const bool isLeaving = host.m_condition.m_isLeaving || host.m_hasDeparted;
+      const bool isHealthy = !isLeaving || host.m_hasFalseHealth;
       Feed(aHost,
            HealthChecked{ isHealthy, host.m_server, kSlots, host.m_condition });
     });
--- a/modules/cr_relay/tests/cr_RelayTestMesh.h
+++ b/modules/cr_relay/tests/cr_RelayTestMesh.h
@@ -42,6 +42,8 @@
     std::set<CallId> m_running;
     /* A server that leaves still answers its health path as healthy. */
     bool m_hasFalseHealth = false;
+    /* The server has announced its departure. */
+    bool m_hasDeparted = false;
     std::uint64_t m_starts = 0;
     Instant m_timer = Instant::max();
     std::vector<Arrival> m_arrivals;
@@ -68,6 +70,13 @@
   /** The host's server announces itself to its node. */
   void Announce(std::size_t aHost);
 
+  /** An announcement of the host's server that was sent with the sequence
+      number arrives late. */
+  void AnnounceLate(std::size_t aHost, std::uint64_t aSequence);
+
+  /** The host's server announces its departure and runs on. */
+  void Depart(std::size_t aHost);
+
   /** Ends the host's server and all requests that it runs. It starts again
       after m_serverDownTime. */
   void CrashServer(std::size_t aHost);
--- a/modules/cr_relay/tests/cr_RelayTestNode.h
+++ b/modules/cr_relay/tests/cr_RelayTestNode.h
@@ -76,24 +76,27 @@
     Feed(RoutesOffered{ std::move(configuration) });
   }
 
-  /** Answers the node's scan of the node table with hosts of the service. */
+  /** Answers the node's scan or watch of the node table with hosts of the
+      service. */
   void AdoptNodes(const std::string& aService,
                   const std::vector<std::string>& aHosts)
   {
-    std::uint64_t id = 0;
+    RowPage page{ {}, false, 1 };
+    RowChanges changes{ {}, 1 };
+    for (const std::string& host : aHosts) {
+      const Row row{ host, EncodeNodeRow(ReadyRow(host, aService)), 1 };
+      page.m_rows.push_back(row);
+      changes.m_changes.push_back({ row, false });
+    }
     for (const auto& call : TakeActions<RelayCallStore>()) {
       const auto* scan = std::get_if<ScanRequest>(&call.m_request);
+      const auto* watch = std::get_if<WatchRequest>(&call.m_request);
       if (scan != nullptr && scan->m_table == kNodeTable) {
-        id = call.m_id;
+        Feed(RelayStoreAnswered{ call.m_id, page });
+      } else if (watch != nullptr && watch->m_table == kNodeTable) {
+        Feed(RelayStoreAnswered{ call.m_id, changes });
       }
     }
-    RowPage page;
-    page.m_version = 1;
-    for (const std::string& host : aHosts) {
-      page.m_rows.push_back(
-        { host, EncodeNodeRow(ReadyRow(host, aService)), 1 });
-    }
-    Feed(RelayStoreAnswered{ id, page });
   }
 
   void Announce(std::uint32_t aSlots,
--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -401,10 +401,14 @@
     aResponder.Send(MakeTextResponse(status, message.error().m_text + "\n"));
     return;
   }
-  std::visit([this](auto& aTyped) { ProcessEvent(std::move(aTyped)); },
-             *message);
-  // The message is applied to the gate before the server sees the answer.
-  aResponder.Send(MakeTextResponse(kHttpOk, "{}", "application/json"));
+  const CallId call{ ++m_lastCallId };
+  m_pendingMessages.emplace(call, aResponder);
+  std::visit(
+    [&](auto& aTyped) {
+      aTyped.m_call = call;
+      ProcessEvent(std::move(aTyped));
+    },
+    *message);
 }
 
 void
--- a/modules/cr_relay_server/server/cr_RelayShell.h
+++ b/modules/cr_relay_server/server/cr_RelayShell.h
@@ -79,6 +79,7 @@
   void Execute(const RelayAnswer& aAction);
   void Execute(const RefuseRequest& aAction);
   void Execute(const AnswerPeer& aAction);
+  void Execute(const AnswerServer& aAction);
   void Execute(const CheckHealth& aAction);
   void Execute(const RelayCallStore& aAction);
   void Execute(const ReadRoutes& aAction);
@@ -111,6 +112,8 @@
   RelayLog m_log;
   std::uint64_t m_lastCallId = 0;
   std::unordered_map<CallId, PendingCall> m_pendingCalls;
+  /* Messages of the backend server that wait for their answer. */
+  std::unordered_map<CallId, HttpResponder> m_pendingMessages;
   std::deque<RelayEvent> m_events;
   bool m_isProcessing = false;
   bool m_isClosed = false;
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -355,6 +355,20 @@
   CompleteCall(aAction.m_call, std::move(response), aAction.m_report);
 }
 
+void
+RelayServer::Implementation::Execute(const AnswerServer& aAction)
+{
+  const auto message = m_pendingMessages.find(aAction.m_call);
+  if (message == m_pendingMessages.end()) {
+    return;
+  }
+  message->second.Send(
+    aAction.m_isAcknowledged
+      ? MakeTextResponse(kHttpOk, "{}", "application/json")
+      : MakeTextResponse(kHttpUnavailable, "not stored yet\n"));
+  m_pendingMessages.erase(message);
+}
+
 void
 RelayServer::Implementation::Execute(const CheckHealth& aAction)
 {
--- a/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayServerTest.cpp
@@ -252,6 +252,44 @@
   EXPECT_EQ(fleet.Send(1, "/status/7").m_status, kHttpUnavailable);
 }
 
+/* DRAIN: the node ends right after the acknowledgement, and an announcement
+   that was sent before arrives at its next process. */
+TEST(RelayServer, RestartedNodeSendsNothingToAServerWhoseLeaveWasAcknowledged)
+{
+  RelayFleet fleet({ "status", "booking" });
+  fleet.WriteRoutes(1, { "status", "booking" });
+  ASSERT_EQ(fleet.SendUntil(1, "/status/7", kHttpOk), kHttpOk);
+  EXPECT_EQ(fleet.Announce(0, 1), kHttpOk);
+  ASSERT_EQ(fleet.Announce(0, 3, true), kHttpOk);
+  fleet.Restart(0);
+  const int requestsRun = fleet.At(0).m_requestsRun;
+  for (int request = 0; request < 20; ++request) {
+    EXPECT_EQ(fleet.Announce(0, 2), kHttpOk);
+    EXPECT_EQ(fleet.Send(1, "/status/7").m_status, kHttpUnavailable);
+  }
+  EXPECT_EQ(fleet.At(0).m_requestsRun, requestsRun);
+}
+
+/* DRAIN: without the platform the next process could not learn of it. */
+TEST(RelayServer, LeaveIsNotAcknowledgedBeforeThePlatformHasStoredIt)
+{
+  RelayFleet fleet({ "status" });
+  fleet.WriteRoutes(1, { "status" });
+  ASSERT_EQ(fleet.SendUntil(0, "/status/7", kHttpOk), kHttpOk);
+  ASSERT_EQ(fleet.Announce(0, 1), kHttpOk);
+  PlatformFaults faults;
+  faults.m_refuses = true;
+  fleet.m_platform.SetFaults(faults);
+  EXPECT_EQ(fleet.Announce(0, 2, true), kHttpUnavailable);
+  EXPECT_EQ(fleet.Send(0, "/status/7").m_status, kHttpUnavailable);
+  fleet.m_platform.SetFaults({});
+  unsigned status = 0;
+  for (int sequence = 3; sequence < 10 && status != kHttpOk; ++sequence) {
+    status = fleet.Announce(0, sequence, true);
+  }
+  EXPECT_EQ(status, kHttpOk);
+}
+
 TEST(RelayServer, ShutdownCompletesRequestsAndReportsNotReady)
 {
   RelayFleet fleet({ "status", "booking" });
