A departure binds the start that it names, announced before or not (DRAIN)

A server that left before its node had heard its first announcement was answered with 200. For another name the departure was ignored as stale; for the same name with a later start it was recorded for the former start. The announcement that arrived late then opened the gate.

ServerAnnouncements.DepartureOfAStartThatWasNotAnnouncedBeforeHolds failed before (both names) and passes now, with the other 16 tests of the module.

Why this works: a departure with a later start time than the known one makes that start the known one, so announcements of it no longer open the gate. One with an earlier time stays stale, as does one without a time for another name.

--- a/modules/cr_membership/announcement/cr_ServerAnnouncements.cpp
+++ b/modules/cr_membership/announcement/cr_ServerAnnouncements.cpp
@@ -47,12 +47,15 @@
   const bool isOtherServer = !m_server.m_id.empty() && m_server.m_id != aId;
   const bool isFromEarlierStart =
     m_startTime && aStartTime && *aStartTime < *m_startTime;
-  if (isOtherServer || isFromEarlierStart) {
+  const bool isFromLaterStart =
+    m_startTime && aStartTime && *aStartTime > *m_startTime;
+  if ((isOtherServer && !isFromLaterStart) || isFromEarlierStart) {
     return AnnouncementResult::Stale;
   }
-  if (!m_startTime && aStartTime) {
+  if ((!m_startTime && aStartTime) || isFromLaterStart) {
     m_startTime = aStartTime;
     m_startTimeServer = aId;
+    m_sequence.reset();
   }
   AnnouncedServer left = m_server;
   left.m_id = aId;
--- a/modules/cr_membership/announcement/cr_ServerAnnouncements.h
+++ b/modules/cr_membership/announcement/cr_ServerAnnouncements.h
@@ -56,8 +56,9 @@
   /** Processes an announcement. */
   AnnouncementResult Announce(const ServerAnnouncement& aAnnouncement);
 
-  /** Marks the named server as leaving. A start time, if given, must not be
-      earlier than the known one; otherwise the result is Stale. */
+  /** Marks the named server as leaving, whether or not it was announced before.
+      Stale if the start time is earlier than the known one, or if another
+      server is known and it is not later. */
   AnnouncementResult Leave(const std::string& aId,
                            std::optional<WallMilliseconds> aStartTime);
 
--- a/modules/cr_membership/tests/cr_ServerAnnouncementsTest.cpp
+++ b/modules/cr_membership/tests/cr_ServerAnnouncementsTest.cpp
@@ -121,6 +121,19 @@
   EXPECT_EQ(announcements.Departure(), (ServerStart{ "b", 3000 }));
 }
 
+/* DRAIN: a server leaves before its node has heard its first announcement,
+   which arrives after the departure. */
+TEST(ServerAnnouncements, DepartureOfAStartThatWasNotAnnouncedBeforeHolds)
+{
+  for (const char* name : { "a", "b" }) {
+    ServerAnnouncements announcements;
+    announcements.Announce(Announcement("a", 1000, 5));
+    EXPECT_EQ(announcements.Leave(name, 2000), AnnouncementResult::Changed);
+    announcements.Announce(Announcement(name, 2000, 1));
+    EXPECT_EQ(announcements.Departure(), (ServerStart{ name, 2000 }));
+  }
+}
+
 TEST(NodeRow, DepartureIsReadFromTheRowOfALeavingServer)
 {
   NodeRow row;
