--- a/modules/cr_membership/announcement/cr_ServerAnnouncements.cpp
+++ b/modules/cr_membership/announcement/cr_ServerAnnouncements.cpp
@@ -1,9 +1,15 @@
 #include "cr_membership/announcement/cr_ServerAnnouncements.h"
 
+#include <algorithm>
+
 namespace cr {
 
 namespace {
 
+/* Longer than the usual time between two announcements of a server. */
+constexpr Duration kConfirmationTime = Seconds(2);
+constexpr std::size_t kMaxDepartures = 8;
+
 bool
 IsSame(const AnnouncedServer& aFirst, const AnnouncedServer& aSecond)
 {
@@ -14,49 +20,55 @@
 }
 
 AnnouncementResult
-ServerAnnouncements::Announce(const ServerAnnouncement& aAnnouncement)
-{
-  const bool isCurrentStart =
-    m_server.m_id == aAnnouncement.m_id &&
-    (!m_startTime || m_startTime == aAnnouncement.m_startTime);
-  const bool isFromEarlierStart =
-    m_startTime &&
-    (!aAnnouncement.m_startTime || *aAnnouncement.m_startTime < *m_startTime);
-  if (isFromEarlierStart) {
-    return AnnouncementResult::Stale;
-  }
-  if (isCurrentStart && m_sequence && *m_sequence >= aAnnouncement.m_sequence) {
+ServerAnnouncements::Announce(const ServerAnnouncement& aAnnouncement,
+                              Instant aNow)
+{
+  const ServerStart start{ aAnnouncement.m_id, aAnnouncement.m_startTime };
+  if (IsEarlier(start)) {
+    if (!Confirm(start, aAnnouncement.m_sequence, aNow)) {
+      return AnnouncementResult::Stale;
+    }
+  } else if (IsKnown(start) && m_sequence &&
+             *m_sequence >= aAnnouncement.m_sequence) {
     return AnnouncementResult::Stale;
   }
-  const bool hasLeft =
-    isCurrentStart && m_server.m_state == ServerState::Leaving;
-  m_startTime = aAnnouncement.m_startTime;
-  m_startTimeServer = aAnnouncement.m_id;
+  const bool isLeaving =
+    aAnnouncement.m_isLeaving || (start.m_startTime && HasDeparted(start)) ||
+    (IsKnown(start) && m_server.m_state == ServerState::Leaving);
+  Adopt(start);
   m_sequence = aAnnouncement.m_sequence;
+  if (isLeaving) {
+    RecordDeparture(start);
+  }
   return Replace({ aAnnouncement.m_id,
                    aAnnouncement.m_service,
                    aAnnouncement.m_slots,
-                   aAnnouncement.m_isLeaving || hasLeft ? ServerState::Leaving
-                                                        : ServerState::Ready });
+                   isLeaving ? ServerState::Leaving : ServerState::Ready });
 }
 
 AnnouncementResult
 ServerAnnouncements::Leave(const std::string& aId,
-                           std::optional<WallMilliseconds> aStartTime)
+                           std::optional<WallMilliseconds> aStartTime,
+                           Instant aNow)
 {
   const bool isOtherServer = !m_server.m_id.empty() && m_server.m_id != aId;
-  const bool isFromEarlierStart =
-    m_startTime && aStartTime && *aStartTime < *m_startTime;
-  const bool isFromLaterStart =
-    m_startTime && aStartTime && *aStartTime > *m_startTime;
-  if ((isOtherServer && !isFromLaterStart) || isFromEarlierStart) {
+  ServerStart start{ aId, aStartTime };
+  if (!aStartTime) {
+    if (isOtherServer) {
+      return AnnouncementResult::Stale;
+    }
+    start.m_startTime = Start().m_startTime;
+  } else if (IsEarlier(start)) {
+    if (!Confirm(start, std::nullopt, aNow)) {
+      return AnnouncementResult::Stale;
+    }
+  } else if (isOtherServer && !(m_startTime && *aStartTime > *m_startTime)) {
     return AnnouncementResult::Stale;
   }
-  if ((!m_startTime && aStartTime) || isFromLaterStart) {
-    m_startTime = aStartTime;
-    m_startTimeServer = aId;
-    m_sequence.reset();
+  if (start.m_startTime) {
+    Adopt(start);
   }
+  RecordDeparture(start);
   AnnouncedServer left = m_server;
   left.m_id = aId;
   left.m_state = ServerState::Leaving;
@@ -70,6 +82,10 @@
   if (m_server.m_state == ServerState::Leaving && !isOtherServer) {
     return AnnouncementResult::Stale;
   }
+  // The answer does not tell which start of the other server it is from.
+  if (isOtherServer && HasDeparted(aServer.m_id)) {
+    return AnnouncementResult::Stale;
+  }
   if (m_server.m_state == ServerState::Ready && !isOtherServer) {
     return AnnouncementResult::Unchanged;
   }
@@ -86,15 +102,14 @@
 AnnouncementResult
 ServerAnnouncements::RestoreDeparture(const ServerStart& aStart)
 {
+  RecordDeparture(aStart);
   const bool isLater =
     aStart.m_startTime && m_startTime && *aStart.m_startTime > *m_startTime;
   if (!m_server.m_id.empty() && !isLater && !MayBeSame(aStart, Start())) {
     return AnnouncementResult::Stale;
   }
   if (isLater || !m_startTime) {
-    m_startTime = aStart.m_startTime;
-    m_startTimeServer = aStart.m_id;
-    m_sequence.reset();
+    Adopt(aStart);
   }
   AnnouncedServer left = m_server;
   left.m_id = aStart.m_id;
@@ -127,6 +142,83 @@
 }
 
 //==============================================================================
+/* A known server without a start time may have any. */
+bool
+ServerAnnouncements::IsEarlier(const ServerStart& aStart) const
+{
+  const bool isIdentifiedByHealth =
+    m_server.m_id == aStart.m_id && m_startTimeServer != m_server.m_id;
+  return m_startTime && !isIdentifiedByHealth &&
+         (!aStart.m_startTime || *aStart.m_startTime < *m_startTime);
+}
+
+bool
+ServerAnnouncements::IsKnown(const ServerStart& aStart) const
+{
+  return MayBeSame(aStart, Start());
+}
+
+/* Returns whether the start, whose start time is earlier than the known one, is
+   the present one. Messages that were held up arrive together, and a known
+   server that still runs announces itself meanwhile. */
+bool
+ServerAnnouncements::Confirm(const ServerStart& aStart,
+                             std::optional<std::uint64_t> aSequence,
+                             Instant aNow)
+{
+  const bool isDeparted =
+    m_server.m_state == ServerState::Leaving && m_server.m_id == aStart.m_id;
+  if (!aStart.m_startTime || isDeparted) {
+    return false;
+  }
+  if (!IsUnconfirmed(aStart)) {
+    m_unconfirmed = { aStart, aNow, aSequence.value_or(0) };
+    return false;
+  }
+  return (!aSequence || *aSequence > m_unconfirmed->m_sequence) &&
+         aNow - m_unconfirmed->m_since >= kConfirmationTime;
+}
+
+/* Makes it the known start. */
+void
+ServerAnnouncements::Adopt(const ServerStart& aStart)
+{
+  m_unconfirmed.reset();
+  if (!IsKnown(aStart)) {
+    m_sequence.reset();
+  }
+  m_startTime = aStart.m_startTime;
+  m_startTimeServer = aStart.m_id;
+}
+
+void
+ServerAnnouncements::RecordDeparture(const ServerStart& aStart)
+{
+  if (HasDeparted(aStart)) {
+    return;
+  }
+  m_departures.push_back(aStart);
+  if (m_departures.size() > kMaxDepartures) {
+    m_departures.pop_front();
+  }
+}
+
+bool
+ServerAnnouncements::HasDeparted(const ServerStart& aStart) const
+{
+  return std::find(m_departures.begin(), m_departures.end(), aStart) !=
+         m_departures.end();
+}
+
+bool
+ServerAnnouncements::HasDeparted(const std::string& aId) const
+{
+  return std::any_of(
+    m_departures.begin(), m_departures.end(), [&](const ServerStart& aStart) {
+      return aStart.m_id == aId;
+    });
+}
+
 AnnouncementResult
 ServerAnnouncements::Replace(AnnouncedServer aServer)
 {
--- a/modules/cr_membership/tests/cr_ServerAnnouncementsTest.cpp
+++ b/modules/cr_membership/tests/cr_ServerAnnouncementsTest.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr Instant kNow{ Seconds(100) };
+
 ServerAnnouncement
 Announcement(std::string aId,
              WallMilliseconds aStartTime,
@@ -45,7 +47,7 @@
   }
   ServerAnnouncements announcements;
   for (const ServerAnnouncement& announcement : sent) {
-    announcements.Announce(announcement);
+    announcements.Announce(announcement, kNow);
   }
   RC_ASSERT(announcements.Server().m_id == last);
   RC_ASSERT(announcements.Server().m_state == ServerState::Ready);
@@ -54,26 +56,27 @@
 TEST(ServerAnnouncements, LeavingServerStaysLeavingUntilRestart)
 {
   ServerAnnouncements announcements;
-  announcements.Announce(Announcement("a", 1000, 1));
-  EXPECT_EQ(announcements.Announce(Announcement("a", 1000, 2, true)),
+  announcements.Announce(Announcement("a", 1000, 1), kNow);
+  EXPECT_EQ(announcements.Announce(Announcement("a", 1000, 2, true), kNow),
             AnnouncementResult::Changed);
-  EXPECT_EQ(announcements.Announce(Announcement("a", 1000, 3)),
+  EXPECT_EQ(announcements.Announce(Announcement("a", 1000, 3), kNow),
             AnnouncementResult::Unchanged);
   EXPECT_EQ(announcements.Server().m_state, ServerState::Leaving);
   announcements.OnHealthCheck({ "a", "pricing", 25, ServerState::Ready });
   EXPECT_EQ(announcements.Server().m_state, ServerState::Leaving);
-  announcements.Announce(Announcement("a", 2000, 0));
+  announcements.Announce(Announcement("a", 2000, 0), kNow);
   EXPECT_EQ(announcements.Server().m_state, ServerState::Ready);
 }
 
 TEST(ServerAnnouncements, ALateDepartureOfAnEarlierStartIsStale)
 {
   ServerAnnouncements announcements;
-  announcements.Announce(Announcement("a", 2000, 1));
-  EXPECT_EQ(announcements.Leave("a", 1000), AnnouncementResult::Stale);
-  EXPECT_EQ(announcements.Leave("b", std::nullopt), AnnouncementResult::Stale);
+  announcements.Announce(Announcement("a", 2000, 1), kNow);
+  EXPECT_EQ(announcements.Leave("a", 1000, kNow), AnnouncementResult::Stale);
+  EXPECT_EQ(announcements.Leave("b", std::nullopt, kNow),
+            AnnouncementResult::Stale);
   EXPECT_EQ(announcements.Server().m_state, ServerState::Ready);
-  EXPECT_EQ(announcements.Leave("a", 2000), AnnouncementResult::Changed);
+  EXPECT_EQ(announcements.Leave("a", 2000, kNow), AnnouncementResult::Changed);
   EXPECT_EQ(announcements.Server().m_state, ServerState::Leaving);
 }
 
@@ -81,17 +84,17 @@
      AnnouncementWithoutStartTimeDoesNotReplaceOneWithStartTime)
 {
   ServerAnnouncements announcements;
-  announcements.Announce(Announcement("a", 2000, 1));
+  announcements.Announce(Announcement("a", 2000, 1), kNow);
   ServerAnnouncement foreign = Announcement("x", 0, 9, true);
   foreign.m_startTime.reset();
-  EXPECT_EQ(announcements.Announce(foreign), AnnouncementResult::Stale);
+  EXPECT_EQ(announcements.Announce(foreign, kNow), AnnouncementResult::Stale);
   EXPECT_EQ(announcements.Server().m_id, "a");
 }
 
 TEST(ServerAnnouncements, UnreachableServerIsReadyAfterHealthCheck)
 {
   ServerAnnouncements announcements;
-  announcements.Announce(Announcement("a", 1000, 1));
+  announcements.Announce(Announcement("a", 1000, 1), kNow);
   EXPECT_EQ(announcements.MarkUnreachable(), AnnouncementResult::Changed);
   EXPECT_EQ(announcements.Server().m_state, ServerState::Absent);
   announcements.OnHealthCheck({ "a", "pricing", 0, ServerState::Ready });
@@ -103,12 +106,12 @@
 TEST(ServerAnnouncements, RestoredDepartureHoldsForItsStartOnly)
 {
   ServerAnnouncements announcements;
-  announcements.Announce(Announcement("a", 1000, 1));
+  announcements.Announce(Announcement("a", 1000, 1), kNow);
   EXPECT_EQ(announcements.RestoreDeparture({ "a", 1000 }),
             AnnouncementResult::Changed);
-  announcements.Announce(Announcement("a", 1000, 2));
+  announcements.Announce(Announcement("a", 1000, 2), kNow);
   EXPECT_EQ(announcements.Departure(), (ServerStart{ "a", 1000 }));
-  announcements.Announce(Announcement("a", 2000, 0));
+  announcements.Announce(Announcement("a", 2000, 0), kNow);
   EXPECT_EQ(announcements.Departure(), std::nullopt);
   EXPECT_EQ(announcements.RestoreDeparture({ "a", 1000 }),
             AnnouncementResult::Stale);
@@ -116,8 +119,8 @@
             AnnouncementResult::Stale);
   EXPECT_EQ(announcements.Server().m_state, ServerState::Ready);
   announcements.RestoreDeparture({ "b", 3000 });
-  announcements.Announce(Announcement("a", 2000, 1));
-  announcements.Announce(Announcement("b", 3000, 1));
+  announcements.Announce(Announcement("a", 2000, 1), kNow);
+  announcements.Announce(Announcement("b", 3000, 1), kNow);
   EXPECT_EQ(announcements.Departure(), (ServerStart{ "b", 3000 }));
 }
 
@@ -127,13 +130,81 @@
 {
   for (const char* name : { "a", "b" }) {
     ServerAnnouncements announcements;
-    announcements.Announce(Announcement("a", 1000, 5));
-    EXPECT_EQ(announcements.Leave(name, 2000), AnnouncementResult::Changed);
-    announcements.Announce(Announcement(name, 2000, 1));
+    announcements.Announce(Announcement("a", 1000, 5), kNow);
+    EXPECT_EQ(announcements.Leave(name, 2000, kNow),
+              AnnouncementResult::Changed);
+    announcements.Announce(Announcement(name, 2000, 1), kNow);
     EXPECT_EQ(announcements.Departure(), (ServerStart{ name, 2000 }));
   }
 }
 
+/* DRAIN: the clock of the host stepped back before the server started again. */
+TEST(ServerAnnouncements, StartWithAnEarlierTimeIsTakenOnceTheKnownOneIsSilent)
+{
+  for (const char* name : { "a", "b" }) {
+    ServerAnnouncements announcements;
+    announcements.Announce(Announcement("a", 2000, 7), kNow);
+    const auto announce = [&](std::uint64_t aSequence, Duration aAfter) {
+      return announcements.Announce(Announcement(name, 1000, aSequence),
+                                    kNow + aAfter);
+    };
+    EXPECT_EQ(announce(0, Seconds(1)), AnnouncementResult::Stale);
+    EXPECT_TRUE(announcements.IsUnconfirmed({ name, 1000 }));
+    EXPECT_EQ(announce(1, Milliseconds(2500)), AnnouncementResult::Stale);
+    EXPECT_NE(announce(2, Seconds(4)), AnnouncementResult::Stale);
+    EXPECT_FALSE(announcements.IsUnconfirmed({ name, 1000 }));
+    EXPECT_EQ(announcements.Start(), (ServerStart{ name, 1000 }));
+    EXPECT_EQ(announcements.Leave(name, 1000, kNow + Seconds(5)),
+              AnnouncementResult::Changed);
+  }
+}
+
+TEST(ServerAnnouncements, LateMessagesOfAnEarlierStartDoNotReplaceOneThatRuns)
+{
+  ServerAnnouncements announcements;
+  announcements.Announce(Announcement("a", 2000, 1), kNow);
+  std::uint64_t sequence = 1;
+  for (int second = 1; second < 10; ++second) {
+    const Instant now = kNow + Seconds(second);
+    EXPECT_EQ(announcements.Announce(Announcement("a", 1000, ++sequence), now),
+              AnnouncementResult::Stale);
+    EXPECT_EQ(announcements.Leave("a", 1000, now), AnnouncementResult::Stale);
+    if (second % 2 == 0) {
+      announcements.Announce(Announcement("a", 2000, ++sequence), now);
+    }
+  }
+  announcements.Announce(Announcement("a", 2000, ++sequence),
+                         kNow + Seconds(59));
+  // A partition delivers what it held up at once.
+  for (int count = 0; count < 5; ++count) {
+    EXPECT_EQ(announcements.Announce(Announcement("a", 1000, ++sequence),
+                                     kNow + Seconds(60)),
+              AnnouncementResult::Stale);
+  }
+  EXPECT_EQ(announcements.Start(), (ServerStart{ "a", 2000 }));
+}
+
+/* Another server at the address rejects what is meant for this one; a start of
+   the same name would not. */
+TEST(ServerAnnouncements, EarlierStartOfTheSameNameNeverReplacesOneThatLeaves)
+{
+  for (const char* name : { "a", "b" }) {
+    ServerAnnouncements announcements;
+    announcements.Announce(Announcement("a", 2000, 1), kNow);
+    announcements.Leave("a", 2000, kNow);
+    for (int second = 1; second < 10; ++second) {
+      announcements.Announce(Announcement(name, 1000, second),
+                             kNow + Seconds(second));
+    }
+    const bool isSame = announcements.Server().m_id == "a";
+    EXPECT_EQ(announcements.Departure().has_value(), isSame) << name;
+    // The first server may still answer its health path.
+    announcements.MarkUnreachable();
+    announcements.OnHealthCheck({ "a", "pricing", 25, ServerState::Ready });
+    EXPECT_NE(announcements.Server().m_state, ServerState::Ready) << name;
+  }
+}
+
 TEST(NodeRow, DepartureIsReadFromTheRowOfALeavingServer)
 {
   NodeRow row;
--- a/modules/cr_relay/decisions/cr_RelayDecisions.cpp
+++ b/modules/cr_relay/decisions/cr_RelayDecisions.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
 namespace cr {
 
 namespace {
@@ -120,8 +122,12 @@
                             RelayActions& aActions)
 {
   m_gate.Handle(aEvent, aNow, aActions);
-  if (aEvent.m_announcement.m_isLeaving) {
-    m_control.AnswerWhenStored(aEvent.m_call, aNow);
+  const ServerAnnouncement& announcement = aEvent.m_announcement;
+  if (announcement.m_isLeaving) {
+    AnswerLeave(aEvent.m_call,
+                { announcement.m_id, announcement.m_startTime },
+                aNow,
+                aActions);
   } else {
     aActions.emplace_back(AnswerServer{ aEvent.m_call });
   }
@@ -133,7 +139,27 @@
                             RelayActions& aActions)
 {
   m_gate.Handle(aEvent, aNow, aActions);
-  m_control.AnswerWhenStored(aEvent.m_call, aNow);
+  AnswerLeave(aEvent.m_call, { aEvent.m_id, aEvent.m_born }, aNow, aActions);
+}
+
+void
+RelayDecisions::AnswerLeave(CallId aCall,
+                            const ServerStart& aStart,
+                            Instant aNow,
+                            RelayActions& aActions)
+{
+  if (m_gate.IsUnconfirmed(aStart)) {
+    aActions.emplace_back(AnswerServer{ aCall, false });
+    aActions.emplace_back(LogDecision{
+      "leave-ignored",
+      std::nullopt,
+      fmt::format("\"server\":\"{}\",\"start\":{},\"known\":\"{}\"",
+                  aStart.m_id,
+                  aStart.m_startTime.value_or(0),
+                  m_gate.Server().m_id) });
+  } else {
+    m_control.AnswerWhenStored(aCall, aNow);
+  }
 }
 
 void
--- a/modules/cr_relay/decisions/cr_RelayDecisions.h
+++ b/modules/cr_relay/decisions/cr_RelayDecisions.h
@@ -84,6 +84,13 @@
                    Instant aNow,
                    RelayActions& aActions);
 
+  /* Acknowledges that the start of the backend server leaves, unless that was
+     ignored. */
+  void AnswerLeave(CallId aCall,
+                   const ServerStart& aStart,
+                   Instant aNow,
+                   RelayActions& aActions);
+
   /* Executes the actions whose target is this node: forwards to its own gate,
      cancellations of those, and the gate's answers. Appends all others to
      aActions. */
--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -167,7 +167,7 @@
                       Instant aNow,
                       RelayActions& aActions)
 {
-  OnServerChange(m_announcements.Announce(aEvent.m_announcement),
+  OnServerChange(m_announcements.Announce(aEvent.m_announcement, aNow),
                  "announcement",
                  aNow,
                  aActions);
@@ -178,7 +178,7 @@
                       Instant aNow,
                       RelayActions& aActions)
 {
-  OnServerChange(m_announcements.Leave(aEvent.m_id, aEvent.m_born),
+  OnServerChange(m_announcements.Leave(aEvent.m_id, aEvent.m_born, aNow),
                  "departure",
                  aNow,
                  aActions);
@@ -465,7 +465,9 @@
                               Instant aNow,
                               RelayActions& aActions)
 {
-  if (!MayBeSame(m_conditionServer, m_announcements.Start())) {
+  const bool isOtherStart =
+    !MayBeSame(m_conditionServer, m_announcements.Start());
+  if (isOtherStart) {
     m_crashDetector.OnUnreachable();
     m_hasServerAnswered = false;
     if (m_condition != ServerCondition()) {
@@ -473,7 +475,7 @@
     }
   }
   m_conditionServer = m_announcements.Start();
-  if (aResult == AnnouncementResult::Unchanged) {
+  if (aResult == AnnouncementResult::Unchanged && !isOtherStart) {
     return;
   }
   aActions.emplace_back(
@@ -550,7 +552,7 @@
                            Instant aNow,
                            RelayActions& aActions)
 {
-  OnServerChange(m_announcements.Leave(aStart.m_id, aStart.m_startTime),
+  OnServerChange(m_announcements.Leave(aStart.m_id, aStart.m_startTime, aNow),
                  aCause,
                  aNow,
                  aActions);
--- a/modules/cr_relay/flow/cr_RelayGateFlow.h
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.h
@@ -86,6 +86,13 @@
     return m_announcements.Departure();
   }
 
+  /** Returns whether the start's messages are ignored, although it may be the
+      present one. @see ServerAnnouncements */
+  bool IsUnconfirmed(const ServerStart& aStart) const
+  {
+    return m_announcements.IsUnconfirmed(aStart);
+  }
+
   /** Returns the queue, for status reports. */
   const SlotQueue& Queue() const { return m_queue; }
 
--- a/modules/cr_relay/tests/cr_RelayDepartureTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayDepartureTest.cpp
@@ -113,6 +113,52 @@
   EXPECT_GT(mesh.CountArrivals(0, Seconds(4)), 10U);
 }
 
+/* The server of the first host starts again after its clock has stepped back.
+ */
+struct SteppedMesh : RelayTestMesh
+{
+  SteppedMesh()
+    : RelayTestMesh(3, { RelayTestNode::Route("orders", false) })
+  {
+    m_hosts[0].m_serverStart -= 500;
+    m_hosts[0].m_sequence = 0;
+  }
+
+  /** Returns the arrivals at the first server since its departure. */
+  std::size_t ArrivalsAfterDeparture()
+  {
+    Depart(0);
+    Run(Milliseconds(20));
+    m_hosts[0].m_arrivals.clear();
+    SendAtRate(30, "/orders/1", Seconds(6));
+    Run(Seconds(6));
+    return m_hosts[0].m_arrivals.size();
+  }
+};
+
+/* DRAIN: all that the server said after its start was taken for stale, and its
+   departure got 200 all the same. */
+TEST(RelayDeparture, DepartureOfAStartAfterAClockStepClosesTheGate)
+{
+  SteppedMesh mesh;
+  mesh.AnnounceRepeatedly(0, Seconds(6));
+  mesh.Run(Seconds(6));
+  EXPECT_EQ(mesh.ArrivalsAfterDeparture(), 0U);
+  EXPECT_TRUE(mesh.m_hosts[0].m_isDepartureAcknowledged);
+}
+
+/* DRAIN: what is ignored must not be acknowledged. */
+TEST(RelayDeparture, IgnoredDepartureIsNotAcknowledged)
+{
+  SteppedMesh mesh;
+  EXPECT_GT(mesh.ArrivalsAfterDeparture(), 0U);
+  EXPECT_FALSE(mesh.m_hosts[0].m_isDepartureAcknowledged);
+  // It is repeated for some seconds.
+  mesh.Depart(0);
+  EXPECT_EQ(mesh.ArrivalsAfterDeparture(), 0U);
+  EXPECT_TRUE(mesh.m_hosts[0].m_isDepartureAcknowledged);
+}
+
 }
 
 }
--- a/modules/cr_relay/tests/cr_RelayTestMesh.cpp
+++ b/modules/cr_relay/tests/cr_RelayTestMesh.cpp
@@ -170,6 +170,15 @@
   return most;
 }
 
+void
+RelayTestMesh::AnnounceRepeatedly(std::size_t aHost, Duration aTime)
+{
+  constexpr Duration interval = Milliseconds(1500);
+  for (Duration delay = Duration::zero(); delay < aTime; delay += interval) {
+    After(delay, [this, aHost] { Announce(aHost); });
+  }
+}
+
 //==============================================================================
 void
 RelayTestMesh::After(Duration aDelay, std::function<void()> aFunction)
@@ -218,6 +227,10 @@
         Feed(origin.m_origin, ForwardAnswered{ origin.m_call, report });
       }
     });
+  } else if (const auto* message = std::get_if<AnswerServer>(&aAction)) {
+    Host& host = m_hosts[aHost];
+    host.m_isDepartureAcknowledged |=
+      host.m_hasDeparted && message->m_isAcknowledged;
   } else if (const auto* served = std::get_if<RelayAnswer>(&aAction)) {
     ++m_served;
     ++m_servedByTarget[m_targets[served->m_call]];
--- a/modules/cr_relay/tests/cr_RelayTestMesh.h
+++ b/modules/cr_relay/tests/cr_RelayTestMesh.h
@@ -44,6 +44,8 @@
     bool m_hasFalseHealth = false;
     /* The server has announced its departure. */
     bool m_hasDeparted = false;
+    /* The node has acknowledged it. */
+    bool m_isDepartureAcknowledged = false;
     std::uint64_t m_starts = 0;
     Instant m_timer = Instant::max();
     std::vector<Arrival> m_arrivals;
@@ -77,6 +79,9 @@
   /** The host's server announces its departure and runs on. */
   void Depart(std::size_t aHost);
 
+  /** The host's server announces itself every 1.5 s from now on, for a time. */
+  void AnnounceRepeatedly(std::size_t aHost, Duration aTime);
+
   /** Ends the host's server and all requests that it runs. It starts again
       after m_serverDownTime. */
   void CrashServer(std::size_t aHost);
