A row that names a departure is not removed (DRAIN)

A request that was on its way when the node ended marks the host as unreachable after its row has changed; 10 to 20 s later the row is removed, and with it the departure.

Found by reading who else writes the row; no run on real processes shows it. RelayControlFlow.RowWithADepartureIsNotRemoved failed before and passes now (relay 98, membership 20, relay_server 20 passed). Rows of servers that left stay in the table in any other case too, as no request goes to their hosts.

--- a/modules/cr_relay/flow/cr_RelayControlFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.cpp
@@ -384,8 +384,10 @@
   }
   const RowKey key{ std::string(kNodeTable), expired->first };
   const RowVersion version = m_shared.m_directory.VersionOf(expired->first);
+  const NodeRow* row = m_shared.m_directory.Find(expired->first);
   unreachable.erase(expired);
-  if (version == 0) {
+  // The next process of the host has to learn the departure from its row.
+  if (version == 0 || (row != nullptr && row->m_departure)) {
     return;
   }
   aActions.emplace_back(LogDecision{
--- a/modules/cr_relay/tests/cr_RelayControlFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayControlFlowTest.cpp
@@ -280,6 +280,30 @@
   }
 }
 
+/* DRAIN: a request was on its way when the node ended. Its next process needs
+   the row, whenever it starts. */
+TEST(RelayControlFlow, RowWithADepartureIsNotRemoved)
+{
+  Control node;
+  node.AdoptRoutes(1, { RelayTestNode::Route("status", true) });
+  node.WriteRow("host-2", "status");
+  node.AnswerStoreCalls();
+  const CallId call = node.Request("/status/1");
+  ASSERT_EQ(node.TakeActions<ForwardRequest>().size(), 1U);
+  NodeRow row = RelayTestNode::ReadyRow("host-2", "status");
+  row.m_state = ServerState::Leaving;
+  row.m_departure = ServerStart{ "server-2", 1000 };
+  const RowKey key{ std::string(kNodeTable), "host-2" };
+  node.m_platform.Execute(
+    TransactRequest{ {}, { { key, EncodeNodeRow(row) } } });
+  node.AnswerStoreCalls();
+  node.Feed(ForwardFailed{ call, false, false });
+  node.AdvanceTime(Seconds(25));
+  node.AnswerStoreCalls();
+  EXPECT_TRUE(
+    std::get<RowFound>(node.m_platform.Execute(ReadRequest{ key })).m_row);
+}
+
 TEST(RelayControlFlow, ReadyOnceFleetAndRoutesAreLoaded)
 {
   Control node;
--- a/modules/cr_relay/tests/cr_RelayDepartureTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayDepartureTest.cpp
@@ -72,6 +72,23 @@
   EXPECT_EQ(mesh.CountArrivals(0, Seconds(8)), 0U);
 }
 
+/* DRAIN: after a power loss no node remembers anything. */
+TEST(RelayDeparture, DepartureOutlivesARestartOfAllNodes)
+{
+  Mesh mesh;
+  for (std::size_t host = 0; host < 3; ++host) {
+    mesh.Stop(host);
+  }
+  mesh.Run(Seconds(1));
+  for (std::size_t host = 0; host < 3; ++host) {
+    mesh.Start(host, host != 0);
+  }
+  mesh.Run(Milliseconds(500));
+  mesh.AnnounceLate();
+  EXPECT_EQ(mesh.CountArrivals(0, Seconds(8)), 0U);
+  EXPECT_GT(mesh.m_served, 0U);
+}
+
 /* DRAIN: false health answers must not open the gate either. */
 TEST(RelayDeparture, RestartedGateStaysClosedThoughTheServerCallsItselfHealthy)
 {
