A leave is not acknowledged from a table that the platform has lost (DRAIN)

Cause: after the platform has come back from an older copy, the node still has its former table in memory until it has read it again. It shows the departure, so a repeated leave was acknowledged at once, although the platform had lost it; a node that ended then would have left its next process nothing to learn from.

--- a/modules/cr_relay/flow/cr_RelayControlFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayControlFlow.cpp
@@ -590,11 +590,13 @@
            : m_ownRow.m_state == ServerState::Absent;
 }
 
-/* The platform may have stored the row before the cached table shows it. */
+/* The platform may have stored the row before the cached table shows it. Until
+   the table has been read again, the platform may have lost the row. */
 bool
 RelayControlFlow::IsOwnRowStored() const
 {
-  return IsOwnRowCurrent() || (m_isRowWritten && !m_isWritingRow);
+  return !m_nodes.IsScanning() &&
+         (IsOwnRowCurrent() || (m_isRowWritten && !m_isWritingRow));
 }
 
 void
--- a/modules/cr_relay/tests/cr_RelayStoreRestorationTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayStoreRestorationTest.cpp
@@ -76,6 +76,36 @@
   EXPECT_EQ(node.OwnState(), ServerState::Leaving);
 }
 
+/* DRAIN: the table that the node has in memory still shows the departure. */
+TEST(RelayStoreRestoration, LostLeaveIsAcknowledgedOnceItIsWrittenAgain)
+{
+  Restoration node;
+  node.Announce(10);
+  node.Run(Seconds(1));
+  node.m_platform.Save();
+  std::uint64_t sequence = 2;
+  node.Announce(10, sequence, true);
+  node.Run(Seconds(1));
+  node.RestorePlatform();
+  bool isRestorationKnown = false;
+  int acknowledged = 0;
+  node.CountLogLines("store-era");
+  for (int step = 0; step < 200; ++step) {
+    isRestorationKnown |= node.CountLogLines("store-era") > 0;
+    node.TakeActions<AnswerServer>();
+    node.Announce(10, ++sequence, true);
+    for (const AnswerServer& answer : node.TakeActions<AnswerServer>()) {
+      if (isRestorationKnown && answer.m_isAcknowledged) {
+        EXPECT_EQ(node.OwnState(), ServerState::Leaving) << step;
+        ++acknowledged;
+      }
+    }
+    node.AdvanceTime(Milliseconds(20));
+    node.AnswerStoreCalls();
+  }
+  EXPECT_GT(acknowledged, 0);
+}
+
 /* The nodes of these rows need a moment to write them again. */
 TEST(RelayStoreRestoration, HostsWhoseRowsAreLostStayInUse)
 {
