--- a/modules/cr_relay/tests/cr_RelayDepartureTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayDepartureTest.cpp
@@ -12,8 +12,8 @@
 {
   Mesh()
     : RelayTestMesh(3, { RelayTestNode::Route("orders", false) })
+    , m_sequenceBefore(++m_hosts[0].m_sequence)
   {
-    m_sequenceBefore = ++m_hosts[0].m_sequence;
     Depart(0);
     Run(Milliseconds(20));
   }
@@ -37,7 +37,7 @@
     return m_hosts[aHost].m_arrivals.size();
   }
 
-  std::uint64_t m_sequenceBefore = 0;
+  const std::uint64_t m_sequenceBefore;
 };
 
 /* DRAIN: a node ended after it had acknowledged a departure, and an earlier
