Announcements: one place for the state of a server that leaves

Leave() and RestoreDeparture() ended with the same four lines; both call Leaving() now. The comment of Leave() states all cases in which it is stale. The line leave-ignored no longer replaces a missing start time with 0: it is only written for a start that has one, and the code says so.

--- a/modules/cr_membership/announcement/cr_ServerAnnouncements.cpp
+++ b/modules/cr_membership/announcement/cr_ServerAnnouncements.cpp
@@ -17,6 +17,15 @@
          aFirst.m_slots == aSecond.m_slots && aFirst.m_state == aSecond.m_state;
 }
 
+/* Returns the server under the given name, as it leaves. */
+AnnouncedServer
+Leaving(AnnouncedServer aServer, const std::string& aId)
+{
+  aServer.m_id = aId;
+  aServer.m_state = ServerState::Leaving;
+  return aServer;
+}
+
 }
 
 AnnouncementResult
@@ -69,10 +78,7 @@
     Adopt(start);
   }
   RecordDeparture(start);
-  AnnouncedServer left = m_server;
-  left.m_id = aId;
-  left.m_state = ServerState::Leaving;
-  return Replace(std::move(left));
+  return Replace(Leaving(m_server, aId));
 }
 
 AnnouncementResult
@@ -111,10 +117,7 @@
   if (isLater || !m_startTime) {
     Adopt(aStart);
   }
-  AnnouncedServer left = m_server;
-  left.m_id = aStart.m_id;
-  left.m_state = ServerState::Leaving;
-  return Replace(std::move(left));
+  return Replace(Leaving(m_server, aStart.m_id));
 }
 
 AnnouncementResult
--- a/modules/cr_membership/announcement/cr_ServerAnnouncements.h
+++ b/modules/cr_membership/announcement/cr_ServerAnnouncements.h
@@ -64,8 +64,9 @@
   AnnouncementResult Announce(const ServerAnnouncement& aAnnouncement,
                               Instant aNow);
 
-  /** Marks the named server as leaving. Stale if the start time is earlier than
-      the known one, or if it is missing and another server is known. */
+  /** Marks the named server as leaving, whether or not it was announced before.
+      Stale if the start time is earlier than the known one and not confirmed,
+      or if another server is known and the start time is not later. */
   AnnouncementResult Leave(const std::string& aId,
                            std::optional<WallMilliseconds> aStartTime,
                            Instant aNow);
--- a/modules/cr_relay/decisions/cr_RelayDecisions.cpp
+++ b/modules/cr_relay/decisions/cr_RelayDecisions.cpp
@@ -148,14 +148,14 @@
                             Instant aNow,
                             RelayActions& aActions)
 {
-  if (m_gate.IsUnconfirmed(aStart)) {
+  if (aStart.m_startTime && m_gate.IsUnconfirmed(aStart)) {
     aActions.emplace_back(AnswerServer{ aCall, false });
     aActions.emplace_back(LogDecision{
       "leave-ignored",
       std::nullopt,
       fmt::format("\"server\":\"{}\",\"start\":{},\"known\":\"{}\"",
                   aStart.m_id,
-                  aStart.m_startTime.value_or(0),
+                  *aStart.m_startTime,
                   m_gate.Server().m_id) });
   } else {
     m_control.AnswerWhenStored(aCall, aNow);
