--- a/review/crossing_uploads.cc
+++ b/review/crossing_uploads.cc
@@ -76,7 +76,7 @@
         begun.insert(aRequest.Header("x-corianderrack-request-id"));
       }
       const bool isUpload = !aRequest.m_body.empty();
-      Sleep(isUpload                              ? 1.0
+      Sleep(isUpload                              ? 1.4
             : aRequest.Word(1) == "/browse/long" ? 3.0
                                                  : 0.05);
       return std::optional(instances[aIndex]->Success(aRequest, "done\n"));
