One reader tells whether an HTTP answer is whole

HttpClient left it to Beast's stream operation to read an answer, so nothing stood between the bytes and the response. HttpResponseReader now reads the answers of a connection from the bytes that it received, as HttpRequestReader does for requests; HttpClient moves the bytes and says how the connection ended. All readers of answers (requests to servers and nodes, health checks, store calls, publish, inspect) go through HttpClient, so this is the one place. The budget of held bytes gets a file.

No change of behaviour. The stand-in that answers with given bytes moves out of HttpPassThroughTest into stand_ins/scripted_stand_in and learns to leave part of an upload unread, to write in pieces, and to end a connection in four ways. Sound forms (HTTP/1.0, no length with an orderly end, chunks, answers after informational ones) are each read at once and byte by byte; 57 cut ones fail.

--- a/modules/cr_transport/http/cr_HttpClient.cpp
+++ b/modules/cr_transport/http/cr_HttpClient.cpp
@@ -16,6 +16,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "cr_transport/http/cr_HttpResponseReader.h"
 #include "cr_transport/io/cr_ConnectionExecutor.h"
 
 namespace cr {
@@ -52,134 +53,6 @@
   return message;
 }
 
-/* Bytes of response bodies in receipt over all exchanges of a client. Thread
-   safe. */
-class BodyBudget
-{
-public:
-  explicit BodyBudget(std::uint64_t aLimit)
-    : m_limit(aLimit)
-  {
-  }
-
-  bool TryReserve(std::uint64_t aBytes)
-  {
-    if (m_reserved.fetch_add(aBytes) + aBytes <= m_limit) {
-      return true;
-    }
-    Release(aBytes);
-    return false;
-  }
-
-  void Release(std::uint64_t aBytes) { m_reserved -= aBytes; }
-
-private:
-  const std::uint64_t m_limit;
-  std::atomic<std::uint64_t> m_reserved{ 0 };
-};
-
-/* A string body whose bytes are reserved from a budget while it is received.
-   Beast requires the names. */
-// NOLINTBEGIN(readability-identifier-naming)
-struct BudgetedBody
-{
-  class value_type
-  {
-  public:
-    value_type() = default;
-    explicit value_type(std::shared_ptr<BodyBudget> aBudget)
-      : m_budget(std::move(aBudget))
-    {
-    }
-    value_type(value_type&& aOther) noexcept
-      : m_text(std::move(aOther.m_text))
-      , m_budget(std::move(aOther.m_budget))
-      , m_reserved(std::exchange(aOther.m_reserved, 0))
-    {
-    }
-    value_type(const value_type&) = delete;
-    value_type& operator=(const value_type&) = delete;
-    ~value_type()
-    {
-      if (m_budget) {
-        m_budget->Release(m_reserved);
-      }
-    }
-
-    bool TryAppend(std::string_view aBytes)
-    {
-      if (!m_budget->TryReserve(aBytes.size())) {
-        return false;
-      }
-      m_reserved += aBytes.size();
-      m_text += aBytes;
-      return true;
-    }
-
-    std::string&& TakeText() { return std::move(m_text); }
-
-  private:
-    std::string m_text;
-    std::shared_ptr<BodyBudget> m_budget;
-    std::uint64_t m_reserved = 0;
-  };
-
-  class reader
-  {
-  public:
-    template<bool IsRequest, typename Fields>
-    reader(http::header<IsRequest, Fields>& /*aHeader*/, value_type& aBody)
-      : m_body(aBody)
-    {
-    }
-
-    void init(const boost::optional<std::uint64_t>& /*aLength*/,
-              beast::error_code& aError)
-    {
-      aError = {};
-    }
-
-    template<typename Buffers>
-    std::size_t put(const Buffers& aBuffers, beast::error_code& aError)
-    {
-      aError = {};
-      std::size_t size = 0;
-      for (const asio::const_buffer buffer :
-           beast::buffers_range_ref(aBuffers)) {
-        if (!m_body.TryAppend(
-              { static_cast<const char*>(buffer.data()), buffer.size() })) {
-          aError = make_error_code(boost::system::errc::not_enough_memory);
-          return size;
-        }
-        size += buffer.size();
-      }
-      return size;
-    }
-
-    void finish(beast::error_code& aError) { aError = {}; }
-
-  private:
-    value_type& m_body;
-  };
-};
-// NOLINTEND(readability-identifier-naming)
-
-HttpResponse
-ToResponse(http::response<BudgetedBody>&& aMessage)
-{
-  HttpResponse response;
-  response.m_status = aMessage.result_int();
-  for (const auto& field : aMessage) {
-    response.m_headers.push_back(
-      { std::string(field.name_string()), std::string(field.value()) });
-  }
-  response.m_body = aMessage.body().TakeText();
-  return response;
-}
-
-/* Max bytes received ahead of the parser. Bounds what belongs to neither header
-   nor body, such as chunk extensions and trailers. */
-constexpr std::size_t kMaxBufferBytes = 128 * 1024;
 constexpr int kKeepaliveProbes = 2;
 /* Max responses, informational ones or those to earlier requests, that are
    discarded before the connection is closed. */
@@ -210,12 +83,11 @@
 {
   explicit Connection(IoThreads& aThreads)
     : m_stream(MakeConnectionExecutor(aThreads))
-    , m_buffer(kMaxBufferBytes)
   {
   }
 
   beast::tcp_stream m_stream;
-  beast::flat_buffer m_buffer;
+  HttpResponseReader m_reader;
   Instant m_idleSince;
 };
 
@@ -244,7 +116,7 @@
   Implementation(IoThreads& aThreads, HttpClientSettings aSettings)
     : m_threads(aThreads)
     , m_settings(aSettings)
-    , m_bodyBudget(std::make_shared<BodyBudget>(aSettings.m_heldBodyBytes))
+    , m_bodyBudget(std::make_shared<HttpBodyBudget>(aSettings.m_heldBodyBytes))
   {
   }
 
@@ -255,7 +127,7 @@
 
   IoThreads& m_threads;
   const HttpClientSettings m_settings;
-  const std::shared_ptr<BodyBudget> m_bodyBudget;
+  const std::shared_ptr<HttpBodyBudget> m_bodyBudget;
 
 private:
   std::mutex m_mutex;
@@ -310,8 +182,6 @@
   }
 
 private:
-  using Parser = http::response_parser<BudgetedBody>;
-
   void Connect()
   {
     beast::error_code error;
@@ -354,77 +224,109 @@
                       m_message,
                       [self = shared_from_this(), round = m_sendRound](
                         beast::error_code aError, std::size_t /*aBytes*/) {
-                        self->m_written =
-                          self->m_written ||
-                          (!aError && round == self->m_sendRound);
+                        if (round == self->m_sendRound) {
+                          self->OnWritten(aError);
+                        }
                       });
     ReadAnswer();
   }
 
+  void OnWritten(beast::error_code aError) { m_written = !aError; }
+
   void ReadAnswer()
   {
-    m_parser.emplace(std::piecewise_construct,
-                     std::forward_as_tuple(m_client->m_bodyBudget));
-    m_parser->body_limit(m_client->m_settings.m_bodyBytes);
-    m_parser->skip(m_message.method() == http::verb::head);
-    http::async_read(
-      m_connection->m_stream,
-      m_connection->m_buffer,
-      *m_parser,
-      beast::bind_front_handler(&Exchange::OnResponseRead, shared_from_this()));
+    HttpResponseReader& reader = m_connection->m_reader;
+    reader.Begin(m_client->m_bodyBudget,
+                 m_client->m_settings.m_bodyBytes,
+                 m_message.method() == http::verb::head);
+    OnProgress(reader.Read());
+  }
+
+  void ReadMore()
+  {
+    m_connection->m_stream.async_read_some(
+      m_connection->m_reader.Prepare(),
+      beast::bind_front_handler(&Exchange::OnRead, shared_from_this()));
   }
 
-  void OnResponseRead(beast::error_code aError, std::size_t aBytes)
+  void OnRead(beast::error_code aError, std::size_t aBytes)
   {
     if (m_done) {
       return;
     }
-    if (aError) {
-      if (aBytes == 0 && !m_parser->got_some() && MayResend()) {
-        Resend();
-        return;
-      }
+    HttpResponseReader& reader = m_connection->m_reader;
+    reader.Commit(aBytes);
+    if (!aError) {
+      OnProgress(reader.Read());
+    } else if (!reader.IsStarted() && MayResend()) {
+      Resend();
+    } else if (aError == asio::error::eof) {
+      OnProgress(reader.ReadEnd());
+    } else {
       Fail(aError.message(), false);
-      return;
     }
-    if (!IsOwnResponse() && m_parser->keep_alive() &&
-        ++m_droppedResponses <= kMaxDroppedResponses) {
-      ReadAnswer();
-      return;
+  }
+
+  void OnProgress(HttpResponseProgress aProgress)
+  {
+    switch (aProgress) {
+      case HttpResponseProgress::Incomplete:
+        ReadMore();
+        break;
+      case HttpResponseProgress::Broken:
+        Fail(m_connection->m_reader.Error(), false);
+        break;
+      case HttpResponseProgress::Complete:
+        OnResponseRead();
+        break;
     }
-    if (!IsOwnResponse()) {
-      Fail("an answer to another request", false);
+  }
+
+  void OnResponseRead()
+  {
+    HttpResponseReader& reader = m_connection->m_reader;
+    if (!IsOwnResponse(reader.Response())) {
+      if (reader.KeepsConnection() &&
+          ++m_droppedResponses <= kMaxDroppedResponses) {
+        ReadAnswer();
+      } else {
+        Fail("an answer to another request", false);
+      }
       return;
     }
     m_done = true;
     m_deadline->cancel();
-    auto message = m_parser->release();
     const bool reusable =
-      message.keep_alive() && m_written && m_connection->m_buffer.size() == 0;
+      reader.KeepsConnection() && !reader.HasUnreadBytes() && m_written;
+    HttpResponse response = reader.Take();
     if (reusable) {
       m_client->ReleaseIdle(m_endpoint, std::move(m_connection));
     } else {
       CloseConnection();
     }
-    Finish(ToResponse(std::move(message)));
+    Finish(std::move(response));
   }
 
-  bool IsOwnResponse() const
+  bool IsOwnResponse(const HttpResponse& aResponse) const
   {
-    const auto& answer = m_parser->get();
     // The final response follows an informational one.
-    if (answer.result_int() < kFirstFinalStatus) {
+    if (aResponse.m_status < kFirstFinalStatus) {
       return false;
     }
     if (m_options.m_echoedHeader.empty()) {
       return true;
     }
-    const auto echoed = answer.find(m_options.m_echoedHeader);
-    if (echoed == answer.end()) {
-      return http::to_status_class(answer.result()) !=
+    const auto echoed = std::find_if(
+      aResponse.m_headers.begin(),
+      aResponse.m_headers.end(),
+      [&](const HttpHeader& aHeader) {
+        return IsSameHeader(aHeader.m_name, m_options.m_echoedHeader);
+      });
+    if (echoed == aResponse.m_headers.end()) {
+      return http::to_status_class(http::int_to_status(aResponse.m_status)) !=
              http::status_class::successful;
     }
-    return echoed->value() == m_message[m_options.m_echoedHeader];
+    return echoed->m_value == m_message[m_options.m_echoedHeader];
   }
 
   bool MayResend() const
@@ -477,7 +379,6 @@
   Endpoint m_endpoint;
   HttpSendOptions m_options;
   http::request<http::string_body> m_message;
-  std::optional<Parser> m_parser;
   HttpCallback m_callback;
   ConnectionPointer m_connection;
   /* A closed connection whose handlers may still be pending. */
--- a/modules/cr_transport/http/cr_HttpClient.h
+++ b/modules/cr_transport/http/cr_HttpClient.h
@@ -75,6 +75,8 @@
 using HttpExchange = Cancellation;
 
 /** Sends HTTP requests over pooled connections, one exchange at a time on each.
+    Only a whole and well-formed response is passed on, as HttpResponseReader
+    tells; any other one is a failure, after which the request may have run.
     A connection whose exchange failed or was cancelled is closed, never reused.
     A failure also closes the idle connections to the same endpoint, so that a
     dead host costs one timeout and not one per connection. All methods are
--- /dev/null
+++ b/modules/cr_transport/http/cr_HttpResponseReader.cpp
@@ -0,0 +1,205 @@
+#include "cr_transport/http/cr_HttpResponseReader.h"
+
+#include <algorithm>
+#include <cassert>
+#include <string_view>
+#include <utility>
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/optional.hpp>
+
+namespace cr {
+
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+/* Max bytes received ahead of the parser. Bounds what belongs to neither header
+   nor body, such as chunk extensions and trailers. */
+constexpr std::size_t kMaxBufferBytes = 128 * 1024;
+constexpr std::size_t kMinReceivedBytes = 512;
+
+}
+
+class HttpResponseReader::Parser : public http::basic_parser<false>
+{
+public:
+  explicit Parser(std::shared_ptr<HttpBodyBudget> aBudget)
+    : m_budget(std::move(aBudget))
+  {
+  }
+
+  Parser(const Parser&) = delete;
+  Parser& operator=(const Parser&) = delete;
+  ~Parser() override { m_budget->Release(m_reserved); }
+
+  HttpResponse m_response;
+
+private:
+  void on_request_impl(http::verb /*aVerb*/,
+                       beast::string_view /*aMethod*/,
+                       beast::string_view /*aTarget*/,
+                       int /*aVersion*/,
+                       beast::error_code& /*aError*/) override
+  {
+  }
+
+  void on_response_impl(int aStatus,
+                        beast::string_view /*aReason*/,
+                        int /*aVersion*/,
+                        beast::error_code& /*aError*/) override
+  {
+    m_response.m_status = static_cast<unsigned>(aStatus);
+  }
+
+  void on_field_impl(http::field /*aField*/,
+                     beast::string_view aName,
+                     beast::string_view aValue,
+                     beast::error_code& /*aError*/) override
+  {
+    m_response.m_headers.push_back({ std::string(aName), std::string(aValue) });
+  }
+
+  void on_header_impl(beast::error_code& /*aError*/) override {}
+
+  void on_body_init_impl(const boost::optional<std::uint64_t>& /*aLength*/,
+                         beast::error_code& /*aError*/) override
+  {
+  }
+
+  std::size_t on_body_impl(beast::string_view aBytes,
+                           beast::error_code& aError) override
+  {
+    if (!m_budget->TryReserve(aBytes.size())) {
+      aError = make_error_code(boost::system::errc::not_enough_memory);
+      return 0;
+    }
+    m_reserved += aBytes.size();
+    m_response.m_body += aBytes;
+    return aBytes.size();
+  }
+
+  void on_chunk_header_impl(std::uint64_t /*aSize*/,
+                            beast::string_view /*aExtensions*/,
+                            beast::error_code& /*aError*/) override
+  {
+  }
+
+  std::size_t on_chunk_body_impl(std::uint64_t /*aRemaining*/,
+                                 beast::string_view aBytes,
+                                 beast::error_code& aError) override
+  {
+    return on_body_impl(aBytes, aError);
+  }
+
+  void on_finish_impl(beast::error_code& /*aError*/) override {}
+
+  const std::shared_ptr<HttpBodyBudget> m_budget;
+  std::uint64_t m_reserved = 0;
+};
+
+HttpResponseReader::HttpResponseReader()
+  : m_buffer(kMaxBufferBytes)
+{
+}
+
+HttpResponseReader::~HttpResponseReader() = default;
+
+void
+HttpResponseReader::Begin(std::shared_ptr<HttpBodyBudget> aBudget,
+                          std::uint64_t aMaxBodyBytes,
+                          bool aIsToHead)
+{
+  m_error.clear();
+  m_parser = std::make_unique<Parser>(std::move(aBudget));
+  m_parser->body_limit(aMaxBodyBytes);
+  m_parser->skip(aIsToHead);
+  m_parser->eager(true);
+}
+
+boost::asio::mutable_buffer
+HttpResponseReader::Prepare()
+{
+  const std::size_t spare = m_buffer.capacity() - m_buffer.size();
+  return m_buffer.prepare(std::min(std::max(spare, kMinReceivedBytes),
+                                   kMaxBufferBytes - m_buffer.size()));
+}
+
+HttpResponseProgress
+HttpResponseReader::Read()
+{
+  assert(m_parser && !m_parser->is_done());
+  if (!HasUnreadBytes()) {
+    return HttpResponseProgress::Incomplete;
+  }
+  return Parse();
+}
+
+HttpResponseProgress
+HttpResponseReader::Parse()
+{
+  beast::error_code error;
+  m_buffer.consume(m_parser->put(m_buffer.data(), error));
+  if (error == http::error::need_more) {
+    error = {};
+    if (m_buffer.size() >= kMaxBufferBytes) {
+      error = http::error::buffer_overflow;
+    }
+  }
+  if (error) {
+    return Break(error.message());
+  }
+  return m_parser->is_done() ? HttpResponseProgress::Complete
+                             : HttpResponseProgress::Incomplete;
+}
+
+HttpResponseProgress
+HttpResponseReader::ReadEnd()
+{
+  assert(m_parser && !m_parser->is_done());
+  const bool isDelimitedByEnd =
+    m_parser->is_header_done() && m_parser->need_eof();
+  if (!isDelimitedByEnd) {
+    return Break(IsStarted() ? "ended early" : "no response");
+  }
+  beast::error_code error;
+  m_parser->put_eof(error);
+  return error ? Break(error.message()) : HttpResponseProgress::Complete;
+}
+
+HttpResponseProgress
+HttpResponseReader::Break(std::string aError)
+{
+  m_error = std::move(aError);
+  return HttpResponseProgress::Broken;
+}
+
+HttpResponse
+HttpResponseReader::Take()
+{
+  HttpResponse response = std::move(m_parser->m_response);
+  m_parser.reset();
+  return response;
+}
+
+const HttpResponse&
+HttpResponseReader::Response() const
+{
+  return m_parser->m_response;
+}
+
+bool
+HttpResponseReader::IsStarted() const
+{
+  return HasUnreadBytes() || (m_parser && m_parser->got_some());
+}
+
+bool
+HttpResponseReader::KeepsConnection() const
+{
+  return m_parser->keep_alive();
+}
+
+}
--- /dev/null
+++ b/modules/cr_transport/tests/cr_BrokenAnswerTest.cpp
@@ -0,0 +1,219 @@
+#include <future>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "cr_transport/cr_transport.h"
+#include "scripted_stand_in/scripted_stand_in.h"
+
+namespace cr {
+
+namespace {
+
+constexpr std::string_view kFields = "Echo: x\r\n";
+constexpr Duration kTimeout = Seconds(10);
+
+struct Client
+{
+  HttpResult Send(const Endpoint& aEndpoint, HttpSendOptions aOptions = {})
+  {
+    return Send(aEndpoint, { "GET", "/", {}, "" }, std::move(aOptions));
+  }
+
+  HttpResult Send(const Endpoint& aEndpoint,
+                  HttpRequest aRequest,
+                  HttpSendOptions aOptions = {})
+  {
+    aRequest.m_headers = { { "Echo", "x" } };
+    aOptions.m_echoedHeader = "Echo";
+    aOptions.m_timeout = kTimeout;
+    auto promise = std::make_shared<std::promise<HttpResult>>();
+    m_client.Send(aEndpoint, aRequest, aOptions, [promise](HttpResult aResult) {
+      promise->set_value(std::move(aResult));
+    });
+    return promise->get_future().get();
+  }
+
+  explicit Client(std::uint32_t aThreads = 1)
+    : m_threads(aThreads)
+  {
+  }
+
+  IoThreads m_threads;
+  HttpClient m_client{ m_threads, {} };
+};
+
+/* Returns the body; "no answer" after a failure. */
+std::string
+BodyOf(const HttpResult& aResult)
+{
+  const auto* response = std::get_if<HttpResponse>(&aResult);
+  return response != nullptr ? response->m_body : "no answer";
+}
+
+/* Whether the exchange failed, as one whose request may have run. */
+testing::AssertionResult
+IsBroken(const HttpResult& aResult)
+{
+  if (const auto* response = std::get_if<HttpResponse>(&aResult)) {
+    return testing::AssertionFailure()
+           << "status " << response->m_status << " and "
+           << response->m_body.size() << " bytes were taken for an answer";
+  }
+  const auto& failure = std::get<HttpFailure>(aResult);
+  if (!failure.m_sent || failure.m_timedOut || failure.m_unreachable) {
+    return testing::AssertionFailure() << "failed with: " << failure.m_text;
+  }
+  return testing::AssertionSuccess();
+}
+
+std::string
+NameOf(const testing::TestParamInfo<AnswerForm>& aInfo)
+{
+  return aInfo.param.m_name;
+}
+
+ScriptedAnswer
+MakeAnswer(const AnswerForm& aForm, std::size_t aPieceBytes = 0)
+{
+  ScriptedAnswer answer;
+  answer.m_bytes = aForm.m_bytes;
+  answer.m_ending = aForm.m_ending;
+  answer.m_pieceBytes = aPieceBytes;
+  return answer;
+}
+
+class BrokenAnswer : public testing::TestWithParam<AnswerForm>
+{};
+
+TEST_P(BrokenAnswer, IsAFailureOnAFreshConnection)
+{
+  for (const std::size_t pieceBytes : { 0, 1 }) {
+    ScriptedServer server([&](const ScriptedRequest& /*aRequest*/) {
+      return MakeAnswer(GetParam(), pieceBytes);
+    });
+    Client client;
+    EXPECT_TRUE(IsBroken(client.Send(server.Address())));
+  }
+}
+
+TEST_P(BrokenAnswer, IsAFailureOnAKeptConnectionWhichIsThenClosed)
+{
+  const AnswerForm sound = SoundAnswers(kFields).front();
+  ScriptedServer server([&](const ScriptedRequest& aRequest) {
+    return MakeAnswer(aRequest.m_earlier == 0 ? sound : GetParam());
+  });
+  Client client;
+  EXPECT_EQ(BodyOf(client.Send(server.Address())), kFormBody);
+  EXPECT_TRUE(IsBroken(client.Send(server.Address())));
+  EXPECT_EQ(server.Connections(), 1U);
+  EXPECT_EQ(BodyOf(client.Send(server.Address())), kFormBody);
+  EXPECT_EQ(server.Connections(), 2U);
+}
+
+TEST_P(BrokenAnswer, IsNoReasonToSendTheRequestAgain)
+{
+  const AnswerForm sound = SoundAnswers(kFields).front();
+  std::atomic<int> requests{ 0 };
+  ScriptedServer server([&](const ScriptedRequest& aRequest) {
+    ++requests;
+    return MakeAnswer(aRequest.m_earlier == 0 ? sound : GetParam());
+  });
+  Client client;
+  HttpSendOptions options;
+  options.m_resendIfStale = true;
+  EXPECT_EQ(BodyOf(client.Send(server.Address(), options)), kFormBody);
+  EXPECT_TRUE(IsBroken(client.Send(server.Address(), options)));
+  EXPECT_EQ(requests, 2);
+}
+
+TEST_P(BrokenAnswer, OfTheStoreIsAFailure)
+{
+  ScriptedServer server([&](const ScriptedRequest& /*aRequest*/) {
+    return MakeAnswer(GetParam());
+  });
+  IoThreads threads(1);
+  HttpClient client(threads, {});
+  StoreConnection store(client, server.Address(), kTimeout);
+  const StoreAnswer answer = store.SendAndWait(ReadRequest{ { "t", "k" } });
+  ASSERT_TRUE(std::holds_alternative<StoreFailed>(answer));
+  EXPECT_NE(std::get<StoreFailed>(answer).m_text, "timed out");
+}
+
+INSTANTIATE_TEST_SUITE_P(Forms,
+                         BrokenAnswer,
+                         testing::ValuesIn(BrokenAnswers(kFields)),
+                         NameOf);
+
+class SoundAnswer : public testing::TestWithParam<AnswerForm>
+{};
+
+TEST_P(SoundAnswer, IsPassedOnWhole)
+{
+  for (const std::size_t pieceBytes : { 0, 1 }) {
+    ScriptedServer server([&](const ScriptedRequest& /*aRequest*/) {
+      ScriptedAnswer answer = MakeAnswer(GetParam(), pieceBytes);
+      // A reset discards what the kernel has not sent yet.
+      answer.m_pause = pieceBytes == 0 ? Duration::zero() : Milliseconds(50);
+      return answer;
+    });
+    Client client;
+    for (int request = 0; request < 2; ++request) {
+      // The first connection may be reset when the next request is sent.
+      HttpSendOptions options;
+      options.m_resendIfStale = true;
+      const HttpResult result = client.Send(server.Address(), options);
+      ASSERT_TRUE(std::holds_alternative<HttpResponse>(result))
+        << std::get<HttpFailure>(result).m_text;
+      const auto& response = std::get<HttpResponse>(result);
+      EXPECT_EQ(response.m_body, kFormBody);
+      EXPECT_EQ(FindHeader(response.m_headers, "Echo"), "x");
+      const std::string status = std::to_string(response.m_status);
+      EXPECT_TRUE(status == "200" || GetParam().m_name == "Status" + status);
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Forms,
+                         SoundAnswer,
+                         testing::ValuesIn(SoundAnswers(kFields)),
+                         NameOf);
+
+const std::string kOk = "HTTP/1.1 200 OK\r\nEcho: x\r\n";
+
+/* A length below the body's cannot be told from a complete answer with bytes
+   behind it; these bytes begin no other answer. */
+TEST(BrokenAnswers, BytesBeyondTheLengthAreNoAnswer)
+{
+  const std::string other = kOk + "Content-Length: 5\r\n\r\nother";
+  ScriptedServer server({ kOk + "Content-Length: 5\r\n\r\nwhole" + other,
+                          kOk + "Content-Length: 5\r\n\r\nthird" });
+  Client client;
+  for (std::size_t request = 1; request <= 3; ++request) {
+    EXPECT_EQ(BodyOf(client.Send(server.Address())), kFormBody);
+    EXPECT_EQ(server.Connections(), request);
+  }
+}
+
+TEST(BrokenAnswers, AnswersWithoutABodyEndWithTheirHeader)
+{
+  for (const char* status : { "204", "304" }) {
+    ScriptedServer server([&](const ScriptedRequest& /*aRequest*/) {
+      return ScriptedAnswer{ std::string("HTTP/1.1 ") + status +
+                             " X\r\nEcho: x\r\n\r\n" };
+    });
+    Client client;
+    EXPECT_EQ(BodyOf(client.Send(server.Address())), "");
+    EXPECT_EQ(BodyOf(client.Send(server.Address())), "");
+    EXPECT_EQ(server.Connections(), 1U);
+  }
+  ScriptedServer server([&](const ScriptedRequest& /*aRequest*/) {
+    return ScriptedAnswer{ kOk + "Content-Length: 5\r\n\r\n" };
+  });
+  Client client;
+  EXPECT_EQ(BodyOf(client.Send(server.Address(), { "HEAD", "/", {}, "" })), "");
+}
+
+}
+
+}
--- a/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
+++ b/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/write.hpp>
 
 #include "cr_transport/cr_transport.h"
+#include "scripted_stand_in/scripted_stand_in.h"
 
 namespace cr {
 
@@ -18,76 +19,6 @@
 
 using tcp = boost::asio::ip::tcp;
 
-/* A server that responds to the requests of each connection with given bytes.
- */
-class ScriptedServer
-{
-public:
-  /* aTexts has one response per request of a connection. The connection closes
-     after the last one, with a TCP reset when aReset is true. */
-  explicit ScriptedServer(std::vector<std::string> aTexts, bool aReset = false)
-    : m_acceptor(m_context, tcp::endpoint(tcp::v4(), 0))
-    , m_texts(std::move(aTexts))
-    , m_reset(aReset)
-    , m_thread([this] { Serve(); })
-  {
-  }
-
-  ~ScriptedServer()
-  {
-    m_stopping = true;
-    boost::system::error_code ignored;
-    tcp::socket wakeup(m_context);
-    wakeup.connect({ boost::asio::ip::make_address("127.0.0.1"), Port() },
-                   ignored);
-    m_thread.join();
-  }
-
-  std::uint16_t Port() { return m_acceptor.local_endpoint().port(); }
-  Endpoint Address() { return { "127.0.0.1", Port() }; }
-  int Connections() const { return m_connections; }
-
-private:
-  void Serve()
-  {
-    while (true) {
-      tcp::socket socket = m_acceptor.accept();
-      if (m_stopping) {
-        return;
-      }
-      ++m_connections;
-      Answer(socket);
-    }
-  }
-
-  void Answer(tcp::socket& aSocket)
-  {
-    boost::system::error_code error;
-    boost::asio::streambuf buffer;
-    for (const std::string& text : m_texts) {
-      const std::size_t size =
-        boost::asio::read_until(aSocket, buffer, "\r\n\r\n", error);
-      if (error) {
-        return;
-      }
-      buffer.consume(size);
-      boost::asio::write(aSocket, boost::asio::buffer(text), error);
-    }
-    if (m_reset) {
-      aSocket.set_option(boost::asio::socket_base::linger(true, 0), error);
-      aSocket.close(error);
-    }
-  }
-
-  boost::asio::io_context m_context;
-  tcp::acceptor m_acceptor;
-  std::vector<std::string> m_texts;
-  bool m_reset;
-  std::atomic<bool> m_stopping{ false };
-  std::atomic<int> m_connections{ 0 };
-  std::thread m_thread;
-};
-
 std::string
 Answer(const std::string& aId, const std::string& aBody)
 {
@@ -147,7 +78,7 @@
   SendWithId(client.m_client, server.Address(), "first");
   std::this_thread::sleep_for(std::chrono::milliseconds(20));
   SendWithId(client.m_client, server.Address(), "second");
-  EXPECT_EQ(server.Connections(), 2);
+  EXPECT_EQ(server.Connections(), 2U);
 }
 
 TEST(HttpPassThrough, TruncatedResponseFails)
@@ -163,7 +94,8 @@
 TEST(HttpPassThrough, ResponseWithoutLengthEndsAtConnectionClose)
 {
   ScriptedServer closed({ "HTTP/1.1 200 OK\r\nEcho: x\r\n\r\nwhole" });
-  ScriptedServer reset({ "HTTP/1.1 200 OK\r\nEcho: x\r\n\r\npart" }, true);
+  ScriptedServer reset({ "HTTP/1.1 200 OK\r\nEcho: x\r\n\r\npart" },
+                       ConnectionEnding::Reset);
   Client client;
   const auto whole = SendWithId(client.m_client, closed.Address(), "x");
   ASSERT_TRUE(std::holds_alternative<HttpResponse>(whole));
@@ -186,13 +118,18 @@
 
 TEST(HttpPassThrough, ResponseBeforeTheEndOfALongBodyIsAccepted)
 {
+  constexpr std::size_t bodyBytes = std::size_t{ 1 } << 20U;
+  ScriptedServerSettings settings;
+  settings.m_unreadBytes = bodyBytes;
   ScriptedServer server(
-    { "HTTP/1.1 413 Too Large\r\nEcho: x\r\nContent-Length: 2\r\n\r\nno" });
+    { "HTTP/1.1 413 Too Large\r\nEcho: x\r\nContent-Length: 2\r\n\r\nno" },
+    ConnectionEnding::Finish,
+    settings);
   Client client;
   HttpRequest request;
   request.m_method = "POST";
   request.m_headers = { { "Echo", "x" } };
-  request.m_body.assign(std::size_t{ 1 } << 20U, 'b');
+  request.m_body.assign(bodyBytes, 'b');
   const auto result =
     client.m_client.SendAndWait(server.Address(), request, Seconds(5));
   ASSERT_TRUE(std::holds_alternative<HttpResponse>(result));
--- /dev/null
+++ b/stand_ins/scripted_stand_in/answer/cr_AnswerForms.cpp
@@ -0,0 +1,154 @@
+#include "scripted_stand_in/answer/cr_AnswerForms.h"
+
+#include <ostream>
+#include <utility>
+
+namespace cr {
+
+namespace {
+
+using std::string_literals::operator""s;
+
+constexpr auto kKeep = ConnectionEnding::Keep;
+constexpr auto kFinish = ConnectionEnding::Finish;
+constexpr auto kReset = ConnectionEnding::Reset;
+
+/* Builds responses around the same header fields. */
+class FormList
+{
+public:
+  explicit FormList(std::string_view aFields)
+    : m_fields(aFields)
+  {
+  }
+
+  /* Adds a response with the start line "VERSION STATUS", fields before and
+     after the common ones, and everything after the header. */
+  void Add(std::string aName,
+           const std::string& aStartLine,
+           const std::string& aFields,
+           const std::string& aRest,
+           ConnectionEnding aEnding = kKeep)
+  {
+    m_forms.push_back(
+      { std::move(aName),
+        aStartLine + "\r\n" + m_fields + aFields + "\r\n" + aRest,
+        aEnding });
+  }
+
+  /* Adds a response with status 200, a length and the whole body. */
+  void AddWithLength(std::string aName, const std::string& aFields)
+  {
+    Add(std::move(aName), kOk, aFields + kLength, kBody);
+  }
+
+  /* Adds a response with status 200 and a chunked body. */
+  void AddChunked(std::string aName,
+                  const std::string& aRest,
+                  ConnectionEnding aEnding = kKeep)
+  {
+    Add(std::move(aName), kOk, kChunked, aRest, aEnding);
+  }
+
+  void AddBytes(std::string aName,
+                std::string aBytes,
+                ConnectionEnding aEnding = kKeep)
+  {
+    m_forms.push_back({ std::move(aName), std::move(aBytes), aEnding });
+  }
+
+  std::vector<AnswerForm> Take() { return std::move(m_forms); }
+
+  const std::string& Fields() const { return m_fields; }
+
+  inline static const std::string kOk = "HTTP/1.1 200 OK";
+  inline static const std::string kLength = "Content-Length: 5\r\n";
+  inline static const std::string kChunked = "Transfer-Encoding: chunked\r\n";
+  inline static const std::string kBody{ kFormBody };
+
+private:
+  std::string m_fields;
+  std::vector<AnswerForm> m_forms;
+};
+
+void
+AddCutAnswers(FormList& aForms)
+{
+  const std::string chunks = "5\r\nwhole\r\n0\r\nName: x\r\n\r\n";
+  for (const auto& [name, ending] :
+       { std::pair{ "Finish", kFinish }, std::pair{ "Reset", kReset } }) {
+    for (std::size_t size = 0; size < chunks.size(); ++size) {
+      aForms.AddChunked("ChunksCutAt"s + std::to_string(size) + "Then" + name,
+                        chunks.substr(0, size),
+                        ending);
+    }
+    aForms.AddBytes("HeadCutInStatusThen"s + name, "HTTP/1.1 20", ending);
+    aForms.AddBytes("HeadCutInFieldThen"s + name,
+                    FormList::kOk + "\r\n" + aForms.Fields() + "Nam",
+                    ending);
+    aForms.AddBytes("HeadCutBeforeItsEndThen"s + name,
+                    FormList::kOk + "\r\n" + aForms.Fields() + "\r",
+                    ending);
+  }
+  aForms.Add("NoLengthThenReset", FormList::kOk, "", "who", kReset);
+  aForms.Add("Http10ThenReset", "HTTP/1.0 200 OK", "", "who", kReset);
+  aForms.Add("NoLengthNoBodyThenReset", FormList::kOk, "", "", kReset);
+}
+
+}
+
+void
+PrintTo(const AnswerForm& aForm, std::ostream* aStream)
+{
+  *aStream << aForm.m_name;
+}
+
+std::vector<AnswerForm>
+SoundAnswers(std::string_view aFields)
+{
+  FormList forms(aFields);
+  const std::string& ok = FormList::kOk;
+  const std::string& body = FormList::kBody;
+  const std::string whole =
+    ok + "\r\n" + forms.Fields() + FormList::kLength + "\r\n" + body;
+  forms.AddWithLength("Length", "");
+  forms.Add("LengthThenReset", ok, FormList::kLength, body, kReset);
+  forms.Add("LengthWithLeadingZeros", ok, "Content-Length: 005\r\n", body);
+  forms.Add("NoLength", ok, "", body, kFinish);
+  forms.Add("Http10", "HTTP/1.0 200 OK", FormList::kLength, body, kFinish);
+  forms.Add("Http10NoLength", "HTTP/1.0 200 OK", "", body, kFinish);
+  forms.Add("ReasonEmpty", "HTTP/1.1 200 ", FormList::kLength, body);
+  forms.Add("Status299", "HTTP/1.1 299 X", FormList::kLength, body);
+  forms.Add("Status404", "HTTP/1.1 404 X", FormList::kLength, body);
+  forms.Add("Status500", "HTTP/1.1 500 X", FormList::kLength, body);
+  forms.Add("Status599", "HTTP/1.1 599 X", FormList::kLength, body);
+  forms.AddWithLength("ValueEmpty", "Name:\r\n");
+  forms.AddWithLength("ValueWithBlanksAround", "Name: \t x y \t\r\n");
+  forms.AddWithLength("ValueWithHighBytes", "Name: \xc3\xa4\r\n");
+  forms.AddWithLength("NameWithAllSymbols", "!#$%&'*+-.^_`|~9: x\r\n");
+  forms.AddWithLength("ConnectionClose", "Connection: close\r\n");
+  forms.AddChunked("Chunked", "5\r\nwhole\r\n0\r\n\r\n");
+  forms.AddChunked("ChunkedThenReset", "5\r\nwhole\r\n0\r\n\r\n", kReset);
+  forms.AddChunked("TwoChunks", "2\r\nwh\r\n3\r\nole\r\n00\r\n\r\n");
+  forms.AddChunked("ChunkExtension", "5;a=\"b c\"\r\nwhole\r\n0;d\r\n\r\n");
+  forms.AddChunked("Trailer", "5\r\nwhole\r\n0\r\nName: x\r\n\r\n");
+  forms.Add("ChunkedInUpperCase",
+            ok,
+            "TRANSFER-ENCODING: Chunked\r\n",
+            "5\r\nwhole\r\n0\r\n\r\n");
+  forms.AddBytes("AfterInformationalAnswers",
+                 "HTTP/1.1 100 Continue\r\n\r\n"
+                 "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" +
+                   whole);
+  return forms.Take();
+}
+
+std::vector<AnswerForm>
+BrokenAnswers(std::string_view aFields)
+{
+  FormList forms(aFields);
+  AddCutAnswers(forms);
+  return forms.Take();
+}
+
+}
