--- a/modules/cr_relay_server/tests/cr_RelayFleet.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.cpp
@@ -67,8 +67,10 @@
 
 }
 
-RelayFleet::RelayFleet(const std::vector<std::string>& aServices)
+RelayFleet::RelayFleet(const std::vector<std::string>& aServices,
+                       std::optional<Endpoint> aStore)
   : m_platformAddress(m_platform.Listen({ "127.0.0.1", 0 }).value())
+  , m_storeAddress(aStore.value_or(m_platformAddress))
 {
   for (const std::string& service : aServices) {
     StartHost(service);
@@ -117,7 +119,7 @@
   settings.m_operators = { host->m_address, kOperatorPort };
   settings.m_control = { host->m_address, kControlPort };
   settings.m_server = { host->m_address, kServerPort };
-  settings.m_platform = m_platformAddress;
+  settings.m_platform = m_storeAddress;
   settings.m_shutdownLimit = kShutdownLimit;
   host->m_settings = settings;
   m_hosts.push_back(std::move(host));
@@ -163,6 +165,29 @@
   aHost.m_server->Listen({ aHost.m_address, kServerPort }).value();
 }
 
+std::unique_ptr<ScriptedServer>
+RelayFleet::ReplaceServer(std::size_t aHost,
+                          const ScriptedHandler& aHandler,
+                          std::size_t aUnreadBytes)
+{
+  Host& host = At(aHost);
+  host.m_server->Close();
+  ScriptedServerSettings settings;
+  settings.m_endpoint = { host.m_address, kServerPort };
+  settings.m_unreadBytes = aUnreadBytes;
+  // The port is free again a moment after Close().
+  for (int attempt = 0;; ++attempt) {
+    try {
+      return std::make_unique<ScriptedServer>(aHandler, settings);
+    } catch (const boost::system::system_error&) {
+      if (attempt == 100) {
+        throw;
+      }
+    }
+    std::this_thread::sleep_for(Milliseconds(10));
+  }
+}
+
 /* Closes all connections, and listens again a little later. */
 void
 RelayFleet::CrashServer(Host& aHost)
--- a/modules/cr_relay_server/tests/cr_RelayFleet.h
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.h
@@ -4,6 +4,7 @@
 #include <future>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,7 @@
 
 #include "cr_relay_server/cr_relay_server.h"
 #include "platform_stand_in/platform_stand_in.h"
+#include "scripted_stand_in/scripted_stand_in.h"
 
 namespace cr {
 
@@ -40,7 +42,9 @@
     std::unique_lock<std::mutex> m_lock;
   };
 
-  explicit RelayFleet(const std::vector<std::string>& aServices);
+  /** Nodes call the store at the given endpoint, or else the stand-in. */
+  explicit RelayFleet(const std::vector<std::string>& aServices,
+                      std::optional<Endpoint> aStore = std::nullopt);
   ~RelayFleet();
   RelayFleet(const RelayFleet&) = delete;
   RelayFleet& operator=(const RelayFleet&) = delete;
@@ -51,6 +55,12 @@
                    const std::vector<std::string>& aServices,
                    std::uint64_t aBodyBytes = 1000);
 
+  /** Ends a host's backend server, and starts one in its place that answers
+      with the handler's bytes. */
+  std::unique_ptr<ScriptedServer> ReplaceServer(std::size_t aHost,
+                                                const ScriptedHandler& aHandler,
+                                                std::size_t aUnreadBytes = 0);
+
   /** Ends a host's node as if it crashed, and starts it again. */
   void Restart(std::size_t aHost);
 
@@ -87,6 +97,9 @@
 
   Host& At(std::size_t aHost) { return *m_hosts.at(aHost); }
 
+  /** Returns the address of the platform's stand-in. */
+  const Endpoint& PlatformAddress() const { return m_platformAddress; }
+
   static constexpr std::uint16_t kCustomerPort = 27400;
   static constexpr std::uint16_t kPeerPort = 27401;
   static constexpr std::uint16_t kOperatorPort = 27402;
@@ -112,6 +125,7 @@
   HttpClient m_client{ m_threads, {} };
   boost::asio::io_context m_socketContext;
   Endpoint m_platformAddress;
+  Endpoint m_storeAddress;
   std::vector<std::unique_ptr<Host>> m_hosts;
   std::atomic<int> m_requests{ 0 };
 };
--- a/modules/cr_transport/http/cr_HttpClient.cpp
+++ b/modules/cr_transport/http/cr_HttpClient.cpp
@@ -219,6 +219,7 @@
       return;
     }
     m_sent = true;
+    m_writing = true;
     m_connection->m_stream.expires_never();
     http::async_write(m_connection->m_stream,
                       m_message,
@@ -231,7 +232,38 @@
     ReadAnswer();
   }
 
-  void OnWritten(beast::error_code aError) { m_written = !aError; }
+  /* The kernel reports a reset once, to the write if one is in progress; the
+     read then sees an ordinary end. A reset after the server's orderly end is
+     reported as a broken pipe. */
+  void OnWritten(beast::error_code aError)
+  {
+    m_writing = false;
+    m_written = !aError;
+    if (aError && aError != asio::error::broken_pipe) {
+      m_connectionEnd = HttpConnectionEnd::Reset;
+    }
+    if (m_readEnd && !m_done) {
+      OnProgress(m_connection->m_reader.ReadEnd(m_connectionEnd));
+    }
+  }
+
+  /* Returns whether the connection is closed in both directions. If the write
+     is still in progress, its error tells how the connection ended. */
+  bool IsConnectionGone()
+  {
+    beast::error_code error;
+    m_connection->m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
+    return error == asio::error::not_connected;
+  }
+
+  void OnEnd()
+  {
+    if (m_writing && IsConnectionGone()) {
+      m_readEnd = true;
+      return;
+    }
+    OnProgress(m_connection->m_reader.ReadEnd(m_connectionEnd));
+  }
 
   void ReadAnswer()
   {
@@ -261,7 +293,7 @@
     } else if (!reader.IsStarted() && MayResend()) {
       Resend();
     } else if (aError == asio::error::eof) {
-      OnProgress(reader.ReadEnd());
+      OnEnd();
     } else {
       Fail(aError.message(), false);
     }
@@ -340,6 +372,7 @@
   {
     m_reused = false;
     m_written = false;
+    m_connectionEnd = HttpConnectionEnd::Orderly;
     ++m_sendRound;
     m_connection->m_stream.close();
     m_closedConnection = std::move(m_connection);
@@ -386,7 +419,12 @@
   asio::any_io_executor m_executor;
   std::optional<asio::steady_timer> m_deadline;
   bool m_reused;
+  bool m_writing = false;
   bool m_written = false;
+  /* The read has seen the end of the connection. */
+  bool m_readEnd = false;
+  /* How the connection ends, as far as the write tells. */
+  HttpConnectionEnd m_connectionEnd = HttpConnectionEnd::Orderly;
   bool m_sent = false;
   bool m_unreachable = false;
   bool m_done = false;
--- a/modules/cr_transport/http/cr_HttpResponseReader.cpp
+++ b/modules/cr_transport/http/cr_HttpResponseReader.cpp
@@ -156,7 +156,7 @@
 }
 
 HttpResponseProgress
-HttpResponseReader::ReadEnd()
+HttpResponseReader::ReadEnd(HttpConnectionEnd aEnd)
 {
   assert(m_parser && !m_parser->is_done());
   const bool isDelimitedByEnd =
@@ -164,6 +164,9 @@
   if (!isDelimitedByEnd) {
     return Break(IsStarted() ? "ended early" : "no response");
   }
+  if (aEnd == HttpConnectionEnd::Reset) {
+    return Break("reset before its end");
+  }
   beast::error_code error;
   m_parser->put_eof(error);
   return error ? Break(error.message()) : HttpResponseProgress::Complete;
--- a/modules/cr_transport/http/cr_HttpResponseReader.h
+++ b/modules/cr_transport/http/cr_HttpResponseReader.h
@@ -25,6 +25,15 @@
   Broken
 };
 
+/** How the server ended a connection. */
+enum class HttpConnectionEnd
+{
+  /** It ended its direction after its last byte. */
+  Orderly,
+  /** The connection was reset or timed out; bytes may be lost. */
+  Reset
+};
+
 /** Reads the responses of one connection from the bytes that it received, one
     after the other, and tells whole responses from broken ones. Opens no socket
     and reads no clock. Not thread safe. */
@@ -56,7 +65,7 @@
   HttpResponseProgress Read();
 
   /** Like Read(), when no more bytes will come. Never returns Incomplete. */
-  HttpResponseProgress ReadEnd();
+  HttpResponseProgress ReadEnd(HttpConnectionEnd aEnd);
 
   /** Returns the response. Precondition: the last Read() or ReadEnd() has
       returned Complete. */
--- a/modules/cr_transport/tests/cr_BrokenAnswerTest.cpp
+++ b/modules/cr_transport/tests/cr_BrokenAnswerTest.cpp
@@ -179,8 +179,169 @@
                          testing::ValuesIn(SoundAnswers(kFields)),
                          NameOf);
 
+/* An answer to a long upload that the server does not read to its end. */
+struct EarlyAnswer
+{
+  const char* m_name;
+  std::string m_bytes;
+  ConnectionEnding m_ending;
+  bool m_isWhole;
+};
+
 const std::string kOk = "HTTP/1.1 200 OK\r\nEcho: x\r\n";
 
+std::vector<EarlyAnswer>
+EarlyAnswers()
+{
+  constexpr auto reset = ConnectionEnding::Reset;
+  constexpr auto finish = ConnectionEnding::Finish;
+  constexpr auto finishThenReset = ConnectionEnding::FinishThenReset;
+  const std::string length = kOk + "Content-Length: 5\r\n\r\n";
+  const std::string chunks = kOk + "Transfer-Encoding: chunked\r\n\r\n5\r\n";
+  const std::string http10 = "HTTP/1.0 200 OK\r\nEcho: x\r\n\r\n";
+  return {
+    { "NoLengthThenReset", kOk + "\r\nwho", reset, false },
+    { "NoLengthNoBodyThenReset", kOk + "\r\n", reset, false },
+    { "Http10ThenReset", http10 + "who", reset, false },
+    { "LengthCutByReset", length + "who", reset, false },
+    { "ChunksCutByReset", chunks + "whole\r\n", reset, false },
+    { "NothingThenReset", "", reset, false },
+    { "LengthCutByFinish", length + "who", finish, false },
+    { "ChunksCutByFinish", chunks + "whole\r\n", finish, false },
+    { "Length", length + "whole", ConnectionEnding::Keep, true },
+    { "LengthThenReset", length + "whole", reset, true },
+    { "ChunksThenReset", chunks + "whole\r\n0\r\n\r\n", reset, true },
+    { "NoLengthThenFinish", kOk + "\r\nwhole", finish, true },
+    { "Http10ThenFinish", http10 + "whole", finish, true },
+    { "NoLengthThenFinishAndReset", kOk + "\r\nwhole", finishThenReset, true },
+  };
+}
+
+class LongUpload : public testing::TestWithParam<EarlyAnswer>
+{
+protected:
+  static constexpr std::size_t kUploadBytes = std::size_t{ 16 } * 1024 * 1024;
+  static constexpr std::size_t kReadBytes = std::size_t{ 64 } * 1024;
+
+  static ScriptedServerSettings Settings()
+  {
+    ScriptedServerSettings settings;
+    settings.m_unreadBytes = kUploadBytes - kReadBytes;
+    return settings;
+  }
+
+  static ScriptedAnswer Answer()
+  {
+    ScriptedAnswer answer;
+    answer.m_bytes = GetParam().m_bytes;
+    answer.m_ending = GetParam().m_ending;
+    return answer;
+  }
+
+  static HttpRequest Upload()
+  {
+    return { "POST", "/", {}, std::string(kUploadBytes, 'u') };
+  }
+
+  static void Check(const HttpResult& aResult)
+  {
+    if (GetParam().m_isWhole) {
+      EXPECT_EQ(BodyOf(aResult), kFormBody);
+    } else {
+      EXPECT_TRUE(IsBroken(aResult));
+    }
+  }
+};
+
+/* The server answers, and ends the connection a moment later. */
+TEST_P(LongUpload, GetsOnlyAWholeAnswer)
+{
+  ScriptedServer server(
+    [](const ScriptedRequest& /*aRequest*/) {
+      ScriptedAnswer answer = Answer();
+      answer.m_pause = Milliseconds(50);
+      return answer;
+    },
+    Settings());
+  Client client;
+  Check(client.Send(server.Address(), Upload()));
+}
+
+TEST_P(LongUpload, GetsOnlyAWholeAnswerOnAKeptConnection)
+{
+  const AnswerForm sound = SoundAnswers(kFields).front();
+  ScriptedServer server(
+    [&](const ScriptedRequest& aRequest) {
+      ScriptedAnswer answer =
+        aRequest.m_earlier == 0 ? MakeAnswer(sound) : Answer();
+      answer.m_pause = Milliseconds(50);
+      return answer;
+    },
+    Settings());
+  Client client;
+  for (const bool isResent : { false, true }) {
+    HttpSendOptions options;
+    options.m_resendIfStale = isResent;
+    EXPECT_EQ(BodyOf(client.Send(server.Address())), kFormBody);
+    const HttpResult result = client.Send(server.Address(), Upload(), options);
+    // Without a byte of an answer, the request is sent again and gets the first
+    // answer of a new connection.
+    if (isResent && GetParam().m_bytes.empty()) {
+      EXPECT_EQ(BodyOf(result), kFormBody);
+    } else {
+      Check(result);
+    }
+    client.m_client.CloseIdle(server.Address());
+  }
+}
+
+/* The client's thread learns of the answer and of the end of the connection at
+   once, as a busy one does. */
+TEST_P(LongUpload, GetsOnlyAWholeAnswerWhenTheClientIsBusy)
+{
+  Client client;
+  std::promise<void> unblock;
+  auto isUnblocked = unblock.get_future().share();
+  ScriptedServer server(
+    [&](const ScriptedRequest& /*aRequest*/) {
+      std::promise<void> blocked;
+      client.m_threads.Post([&] {
+        blocked.set_value();
+        isUnblocked.wait();
+      });
+      blocked.get_future().wait();
+      return Answer();
+    },
+    Settings());
+  auto result = std::async(std::launch::async, [&] {
+    return client.Send(server.Address(), Upload());
+  });
+  while (server.Answers() == 0) {
+    std::this_thread::sleep_for(Milliseconds(1));
+  }
+  std::this_thread::sleep_for(Milliseconds(20));
+  unblock.set_value();
+  Check(result.get());
+}
+
+/* The ends of the read and of the write may be seen in any order. */
+TEST_P(LongUpload, GetsOnlyAWholeAnswerWithSeveralThreads)
+{
+  ScriptedServer server(
+    [](const ScriptedRequest& /*aRequest*/) { return Answer(); }, Settings());
+  Client client(4);
+  for (int round = 0; round < 10; ++round) {
+    Check(client.Send(server.Address(), Upload()));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Forms,
+                         LongUpload,
+                         testing::ValuesIn(EarlyAnswers()),
+                         [](const auto& aInfo) {
+                           return std::string(aInfo.param.m_name);
+                         });
+
 /* A length below the body's cannot be told from a complete answer with bytes
    behind it; these bytes begin no other answer. */
 TEST(BrokenAnswers, BytesBeyondTheLengthAreNoAnswer)
