--- a/modules/cr_relay_server/tests/cr_RelayBrokenAnswerTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayBrokenAnswerTest.cpp
@@ -278,7 +278,8 @@
 
 TEST(RelayBrokenAnswer, ToAHealthCheckDoesNotMakeAServerUsable)
 {
-  for (const std::string name : { "NoLengthThenReset" }) {
+  for (const std::string name :
+       { "Status000WithoutLength", "NoLengthThenReset" }) {
     SCOPED_TRACE(name);
     std::atomic<bool> isBroken{ true };
     std::atomic<int> checks{ 0 };
@@ -361,7 +362,9 @@
     const std::string length =
       "Content-Length: " + std::to_string(body.size()) + "\r\n";
     const std::string ok = "HTTP/1.1 200 OK\r\n";
-    if (state.m_form == "Reset") {
+    if (state.m_form == "Status000") {
+      answer.m_bytes = "HTTP/1.1 000 X\r\n" + length + "\r\n" + body;
+    } else if (state.m_form == "Reset") {
       answer.m_bytes = ok + "\r\n" + body;
       answer.m_ending = ConnectionEnding::Reset;
     } else {
@@ -379,7 +382,7 @@
 
 TEST(RelayBrokenAnswer, OfTheStoreIsNotUsed)
 {
-  for (const std::string form : { "Reset" }) {
+  for (const std::string form : { "Status000", "Reset" }) {
     SCOPED_TRACE(form);
     BrokenStore store;
     RelayFleet fleet({ "status" }, store.Address());
--- a/modules/cr_transport/http/cr_HttpResponseReader.cpp
+++ b/modules/cr_transport/http/cr_HttpResponseReader.cpp
@@ -21,8 +21,21 @@
 constexpr std::size_t kMaxBufferBytes = 128 * 1024;
 constexpr std::size_t kMinReceivedBytes = 512;
 
+/* Returns whether the code is in a class that RFC 9110, section 15, defines.
+   Protocols are never switched, as no request asks for it. */
+bool
+IsValidStatus(int aStatus)
+{
+  constexpr int switchingProtocols = 101;
+  constexpr int first = 100;
+  constexpr int last = 599;
+  return aStatus >= first && aStatus <= last && aStatus != switchingProtocols;
 }
 
+}
+
+/* Accepts less than Beast's own response parser: what two readers of the same
+   bytes may understand differently is an error. */
 class HttpResponseReader::Parser : public http::basic_parser<false>
 {
 public:
@@ -49,8 +62,11 @@
   void on_response_impl(int aStatus,
                         beast::string_view /*aReason*/,
                         int /*aVersion*/,
-                        beast::error_code& /*aError*/) override
+                        beast::error_code& aError) override
   {
+    if (!IsValidStatus(aStatus)) {
+      aError = http::error::bad_status;
+    }
     m_response.m_status = static_cast<unsigned>(aStatus);
   }
 
--- a/stand_ins/scripted_stand_in/answer/cr_AnswerForms.cpp
+++ b/stand_ins/scripted_stand_in/answer/cr_AnswerForms.cpp
@@ -71,6 +71,43 @@
   std::vector<AnswerForm> m_forms;
 };
 
+void
+AddBrokenStatuses(FormList& aForms)
+{
+  for (const char* status : { "000", "001", "099", "101", "600", "999" }) {
+    aForms.Add("Status"s + status,
+               "HTTP/1.1 "s + status + " X",
+               FormList::kLength,
+               FormList::kBody);
+  }
+  aForms.Add(
+    "Status000WithoutLength", "HTTP/1.1 000 X", "", FormList::kBody, kFinish);
+  aForms.Add("Status000ThenAnotherAnswer",
+             "HTTP/1.1 000 X",
+             "Content-Length: 0\r\n",
+             FormList::kOk + "\r\n" + aForms.Fields() + FormList::kLength +
+               "\r\n" + FormList::kBody);
+  const std::vector<std::pair<const char*, const char*>> startLines = {
+    { "StatusOfTwoDigits", "HTTP/1.1 20 OK" },
+    { "StatusOfFourDigits", "HTTP/1.1 2000 OK" },
+    { "StatusWithLeadingZero", "HTTP/1.1 0200 OK" },
+    { "StatusWithSign", "HTTP/1.1 +20 OK" },
+    { "StatusWithLetter", "HTTP/1.1 2o0 OK" },
+    { "StatusAfterTwoBlanks", "HTTP/1.1  200 OK" },
+    { "StatusMissing", "HTTP/1.1" },
+    { "ReasonWithControlByte", "HTTP/1.1 200 O\x01K" },
+    { "ReasonWithBareCarriageReturn", "HTTP/1.1 200 O\rK" },
+    { "Version12", "HTTP/1.2 200 OK" },
+    { "Version20", "HTTP/2.0 200 OK" },
+    { "VersionInLowerCase", "http/1.1 200 OK" },
+    { "BlankBeforeVersion", " HTTP/1.1 200 OK" },
+    { "EmptyLineBeforeVersion", "\r\nHTTP/1.1 200 OK" }
+  };
+  for (const auto& [name, line] : startLines) {
+    aForms.Add(name, line, FormList::kLength, FormList::kBody);
+  }
+}
+
 void
 AddCutAnswers(FormList& aForms)
 {
@@ -147,6 +184,7 @@
 BrokenAnswers(std::string_view aFields)
 {
   FormList forms(aFields);
+  AddBrokenStatuses(forms);
   AddCutAnswers(forms);
   return forms.Take();
 }
