--- a/modules/cr_relay_server/tests/cr_RelayBrokenAnswerTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayBrokenAnswerTest.cpp
@@ -278,8 +278,10 @@
 
 TEST(RelayBrokenAnswer, ToAHealthCheckDoesNotMakeAServerUsable)
 {
-  for (const std::string name :
-       { "Status000WithoutLength", "NoLengthThenReset" }) {
+  for (const std::string name : { "Status000WithoutLength",
+                                  "NameWithBlankAtStart",
+                                  "FoldedLength",
+                                  "NoLengthThenReset" }) {
     SCOPED_TRACE(name);
     std::atomic<bool> isBroken{ true };
     std::atomic<int> checks{ 0 };
@@ -364,6 +366,8 @@
     const std::string ok = "HTTP/1.1 200 OK\r\n";
     if (state.m_form == "Status000") {
       answer.m_bytes = "HTTP/1.1 000 X\r\n" + length + "\r\n" + body;
+    } else if (state.m_form == "NameWithBlank") {
+      answer.m_bytes = ok + length + " Name: x\r\n\r\n" + body;
     } else if (state.m_form == "Reset") {
       answer.m_bytes = ok + "\r\n" + body;
       answer.m_ending = ConnectionEnding::Reset;
@@ -382,7 +386,7 @@
 
 TEST(RelayBrokenAnswer, OfTheStoreIsNotUsed)
 {
-  for (const std::string form : { "Status000", "Reset" }) {
+  for (const std::string form : { "Status000", "NameWithBlank", "Reset" }) {
     SCOPED_TRACE(form);
     BrokenStore store;
     RelayFleet fleet({ "status" }, store.Address());
--- a/modules/cr_transport/http/cr_HttpResponseReader.cpp
+++ b/modules/cr_transport/http/cr_HttpResponseReader.cpp
@@ -20,6 +20,7 @@
    nor body, such as chunk extensions and trailers. */
 constexpr std::size_t kMaxBufferBytes = 128 * 1024;
 constexpr std::size_t kMinReceivedBytes = 512;
+constexpr std::string_view kLineEnd = "\r\n";
 
 /* Returns whether the code is in a class that RFC 9110, section 15, defines.
    Protocols are never switched, as no request asks for it. */
@@ -32,6 +33,26 @@
   return aStatus >= first && aStatus <= last && aStatus != switchingProtocols;
 }
 
+/* Returns whether a line of a header begins with a blank, as a continuation of
+   the line before it (RFC 9112, section 5.2). The bytes start at a line and may
+   go beyond the header. */
+bool
+HasFoldedLine(std::string_view aBytes)
+{
+  std::size_t line = 0;
+  while (!aBytes.substr(line).starts_with(kLineEnd)) {
+    const std::size_t end = aBytes.find(kLineEnd, line);
+    if (end == std::string_view::npos) {
+      return false;
+    }
+    line = end + kLineEnd.size();
+    if (line < aBytes.size() && (aBytes[line] == ' ' || aBytes[line] == '\t')) {
+      return true;
+    }
+  }
+  return false;
+}
+
 }
 
 /* Accepts less than Beast's own response parser: what two readers of the same
@@ -150,6 +171,13 @@
   if (!HasUnreadBytes()) {
     return HttpResponseProgress::Incomplete;
   }
+  if (!m_parser->is_header_done()) {
+    const auto bytes = m_buffer.cdata();
+    if (HasFoldedLine(
+          { static_cast<const char*>(bytes.data()), bytes.size() })) {
+      return Break("folded header line");
+    }
+  }
   return Parse();
 }
 
--- a/stand_ins/scripted_stand_in/answer/cr_AnswerForms.cpp
+++ b/stand_ins/scripted_stand_in/answer/cr_AnswerForms.cpp
@@ -108,6 +108,63 @@
   }
 }
 
+void
+AddBrokenFields(FormList& aForms)
+{
+  const std::vector<std::pair<const char*, std::string>> fields = {
+    { "NameWithBlank", "Bad Name: x\r\n" },
+    { "NameWithTab", "Bad\tName: x\r\n" },
+    { "NameWithBlankAtEnd", "Name : x\r\n" },
+    { "NameWithTabAtEnd", "Name\t: x\r\n" },
+    { "NameWithBlankAtStart", " Name: x\r\n" },
+    { "NameWithTabAtStart", "\tName: x\r\n" },
+    { "NameWithControlByte", "Na\x01me: x\r\n" },
+    { "NameWithNull", "Na\0me: x\r\n"s },
+    { "NameWithDelete", "Na\x7fme: x\r\n" },
+    { "NameWithEscape", "Na\x1bme: x\r\n" },
+    { "NameWithHighByte", "Na\xc3me: x\r\n" },
+    { "NameEmpty", ": x\r\n" },
+    { "LineWithoutColon", "Name\r\n" },
+    { "LineOfBlanks", "  \r\n" },
+    { "FoldedLine", "Name: x\r\n y\r\n" },
+    { "FoldedLineWithTab", "Name: x\r\n\ty\r\n" },
+    { "FoldedEmptyValue", "Name:\r\n x\r\n" },
+    { "FoldedIntoNothing", "Name: x\r\n \r\n" },
+    { "ValueWithControlByte", "Name: x\x01y\r\n" },
+    { "ValueWithNull", "Name: x\0y\r\n"s },
+    { "ValueWithDelete", "Name: x\x7fy\r\n" },
+    { "ValueWithBareCarriageReturn", "Name: x\ry\r\n" },
+    { "LineEndsInBareCarriageReturn", "Name: x\rOther: y\r\n" },
+    { "LineEndsInBareLineFeed", "Name: x\nOther: y\r\n" }
+  };
+  for (const auto& [name, field] : fields) {
+    aForms.AddWithLength(name, field);
+  }
+  const std::string& ok = FormList::kOk;
+  // The first line has no line before it to continue.
+  for (const auto& [name, blank] :
+       { std::pair{ "FirstNameWithBlankAtStart", " " },
+         std::pair{ "FirstNameWithTabAtStart", "\t" } }) {
+    aForms.AddBytes(name,
+                    ok + "\r\n" + blank + "Name: x\r\n" + aForms.Fields() +
+                      FormList::kLength + "\r\n" + FormList::kBody);
+  }
+  aForms.Add("FoldedLength",
+             ok,
+             "Name: x\r\n Content-Length: 5\r\n",
+             FormList::kBody,
+             kFinish);
+  aForms.Add("FoldedCoding",
+             ok,
+             "Name: x\r\n Transfer-Encoding: chunked\r\n",
+             "5\r\nwhole\r\n0\r\n\r\n",
+             kFinish);
+  aForms.AddBytes("HeadEndsInBareLineFeeds",
+                  "HTTP/1.1 200 OK\n" + aForms.Fields() +
+                    "Content-Length: 5\n\n" + FormList::kBody,
+                  kFinish);
+}
+
 void
 AddCutAnswers(FormList& aForms)
 {
@@ -185,6 +242,7 @@
 {
   FormList forms(aFields);
   AddBrokenStatuses(forms);
+  AddBrokenFields(forms);
   AddCutAnswers(forms);
   return forms.Take();
 }
