Two lengths, or a coding other than chunked, are no framing of an answer (MIXED)

What callers saw: after "Transfer-Encoding: chunked, gzip" or an unknown coding, the body ran to the end of the connection and held the chunks' framing; after "gzip, chunked" it was compressed and the header that said so was gone. A length given twice with the same value passed.

Cause: Beast knows chunked as the last coding only, and reads to the end of the connection for any other; Transfer-Encoding is removed as a header of one connection.

Two different lengths, a length with a coding, signs, text, empty and too large values, and broken chunks failed before, and keep their tests.

The only coding is "chunked", once and in HTTP/1.1, as no request asks for another one; RFC 9110, section 8.6, lets a recipient refuse a repeated length.

--- a/modules/cr_relay_server/tests/cr_RelayBrokenAnswerTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayBrokenAnswerTest.cpp
@@ -281,7 +281,8 @@
   for (const std::string name : { "Status000WithoutLength",
                                   "NameWithBlankAtStart",
                                   "FoldedLength",
-                                  "NoLengthThenReset" }) {
+                                  "NoLengthThenReset",
+                                  "CodingOther" }) {
     SCOPED_TRACE(name);
     std::atomic<bool> isBroken{ true };
     std::atomic<int> checks{ 0 };
@@ -368,6 +369,9 @@
       answer.m_bytes = "HTTP/1.1 000 X\r\n" + length + "\r\n" + body;
     } else if (state.m_form == "NameWithBlank") {
       answer.m_bytes = ok + length + " Name: x\r\n\r\n" + body;
+    } else if (state.m_form == "Coding") {
+      answer.m_bytes = ok + "Transfer-Encoding: gzip\r\n\r\n" + body;
+      answer.m_ending = ConnectionEnding::Finish;
     } else if (state.m_form == "Reset") {
       answer.m_bytes = ok + "\r\n" + body;
       answer.m_ending = ConnectionEnding::Reset;
@@ -386,7 +390,8 @@
 
 TEST(RelayBrokenAnswer, OfTheStoreIsNotUsed)
 {
-  for (const std::string form : { "Status000", "NameWithBlank", "Reset" }) {
+  for (const std::string form :
+       { "Status000", "NameWithBlank", "Coding", "Reset" }) {
     SCOPED_TRACE(form);
     BrokenStore store;
     RelayFleet fleet({ "status" }, store.Address());
--- a/modules/cr_transport/http/cr_HttpResponseReader.cpp
+++ b/modules/cr_transport/http/cr_HttpResponseReader.cpp
@@ -20,6 +20,7 @@
    nor body, such as chunk extensions and trailers. */
 constexpr std::size_t kMaxBufferBytes = 128 * 1024;
 constexpr std::size_t kMinReceivedBytes = 512;
+constexpr int kHttpVersion11 = 11;
 constexpr std::string_view kLineEnd = "\r\n";
 
 /* Returns whether the code is in a class that RFC 9110, section 15, defines.
@@ -82,20 +83,33 @@
 
   void on_response_impl(int aStatus,
                         beast::string_view /*aReason*/,
-                        int /*aVersion*/,
+                        int aVersion,
                         beast::error_code& aError) override
   {
     if (!IsValidStatus(aStatus)) {
       aError = http::error::bad_status;
     }
     m_response.m_status = static_cast<unsigned>(aStatus);
+    m_version = aVersion;
   }
 
-  void on_field_impl(http::field /*aField*/,
+  void on_field_impl(http::field aField,
                      beast::string_view aName,
                      beast::string_view aValue,
-                     beast::error_code& /*aError*/) override
+                     beast::error_code& aError) override
   {
+    if (aField == http::field::content_length) {
+      // Beast accepts equal lengths, in several fields or in one.
+      if (m_hasLength || aValue.find(',') != beast::string_view::npos) {
+        aError = http::error::multiple_content_length;
+      }
+      m_hasLength = true;
+    }
+    // No other coding was asked for, and none is decoded here.
+    if (aField == http::field::transfer_encoding &&
+        (m_version < kHttpVersion11 || !IsSameHeader(aValue, "chunked"))) {
+      aError = http::error::bad_transfer_encoding;
+    }
     m_response.m_headers.push_back({ std::string(aName), std::string(aValue) });
   }
 
@@ -135,6 +149,8 @@
 
   const std::shared_ptr<HttpBodyBudget> m_budget;
   std::uint64_t m_reserved = 0;
+  int m_version = 0;
+  bool m_hasLength = false;
 };
 
 HttpResponseReader::HttpResponseReader()
--- a/stand_ins/scripted_stand_in/answer/cr_AnswerForms.cpp
+++ b/stand_ins/scripted_stand_in/answer/cr_AnswerForms.cpp
@@ -165,6 +165,84 @@
                   kFinish);
 }
 
+void
+AddBrokenLengths(FormList& aForms)
+{
+  const std::vector<std::pair<const char*, const char*>> lengths = {
+    { "LengthTwice", "Content-Length: 5\r\nContent-Length: 5\r\n" },
+    { "LengthTwiceInOneLine", "Content-Length: 5, 5\r\n" },
+    { "TwoLengths", "Content-Length: 5\r\nContent-Length: 4\r\n" },
+    { "TwoLengthsInOneLine", "Content-Length: 5, 4\r\n" },
+    { "LengthNegative", "Content-Length: -5\r\n" },
+    { "LengthWithSign", "Content-Length: +5\r\n" },
+    { "LengthWithText", "Content-Length: 5x\r\n" },
+    { "LengthHexadecimal", "Content-Length: 0x5\r\n" },
+    { "LengthEmpty", "Content-Length:\r\n" },
+    { "LengthWithComma", "Content-Length: 5,\r\n" },
+    { "LengthBeyondRange", "Content-Length: 18446744073709551621\r\n" },
+    { "LengthThenCoding",
+      "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n" },
+    { "CodingThenLength",
+      "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n" },
+    { "LengthThenOtherCoding",
+      "Content-Length: 5\r\nTransfer-Encoding: gzip\r\n" }
+  };
+  for (const auto& [name, length] : lengths) {
+    aForms.Add(name, FormList::kOk, length, FormList::kBody, kFinish);
+  }
+  for (const auto& [name, ending] :
+       { std::pair{ "Finish", kFinish }, std::pair{ "Reset", kReset } }) {
+    aForms.Add("LengthLongThen"s + name,
+               FormList::kOk,
+               "Content-Length: 10\r\n",
+               FormList::kBody,
+               ending);
+  }
+}
+
+void
+AddBrokenCodings(FormList& aForms)
+{
+  const std::string chunks = "5\r\nwhole\r\n0\r\n\r\n";
+  for (const auto& [name, coding] :
+       std::vector<std::pair<const char*, const char*>>{
+         { "CodingOther", "gzip" },
+         { "CodingUnknown", "xchunked" },
+         { "CodingIdentity", "identity" },
+         { "CodingEmpty", "" },
+         { "CodingAfterChunked", "chunked, gzip" },
+         { "CodingBeforeChunked", "gzip, chunked" },
+         { "CodingWithParameter", "chunked;x=1" },
+         { "CodingTwice", "chunked, chunked" } }) {
+    aForms.Add(name,
+               FormList::kOk,
+               "Transfer-Encoding: "s + coding + "\r\n",
+               chunks,
+               kFinish);
+  }
+  aForms.Add("CodingInTwoLines",
+             FormList::kOk,
+             FormList::kChunked + FormList::kChunked,
+             chunks,
+             kFinish);
+  aForms.Add(
+    "CodingInHttp10", "HTTP/1.0 200 OK", FormList::kChunked, chunks, kFinish);
+  for (const auto& [name, body] :
+       std::vector<std::pair<const char*, std::string>>{
+         { "ChunkSizeEmpty", "\r\nwhole\r\n0\r\n\r\n" },
+         { "ChunkSizeNoNumber", "x\r\nwhole\r\n0\r\n\r\n" },
+         { "ChunkSizeNegative", "-5\r\nwhole\r\n0\r\n\r\n" },
+         { "ChunkSizeWithPrefix", "0x5\r\nwhole\r\n0\r\n\r\n" },
+         { "ChunkSizeBeyondRange", "10000000000000005\r\nwhole\r\n0\r\n\r\n" },
+         { "ChunkSizeWithBareLineFeed", "5\nwhole\r\n0\r\n\r\n" },
+         { "ChunkShorterThanItsData", "4\r\nwhole\r\n0\r\n\r\n" },
+         { "ChunkLongerThanItsData", "6\r\nwhole\r\n0\r\n\r\n" },
+         { "ChunkExtensionMalformed", "5;=x\r\nwhole\r\n0\r\n\r\n" },
+         { "TrailerMalformed", "5\r\nwhole\r\n0\r\nBad Name: x\r\n\r\n" } }) {
+    aForms.AddChunked(name, body, kFinish);
+  }
+}
+
 void
 AddCutAnswers(FormList& aForms)
 {
@@ -243,6 +321,8 @@
   FormList forms(aFields);
   AddBrokenStatuses(forms);
   AddBrokenFields(forms);
+  AddBrokenLengths(forms);
+  AddBrokenCodings(forms);
   AddCutAnswers(forms);
   return forms.Take();
 }
