A trailer field is no field of the header

The fields behind the last chunk were added to those of the head, so a trailer could set what decides about a request: the identifier, "not run", the coding of the body. RFC 9110, section 6.5.1, forbids to merge them. They are read and dropped.

--- a/modules/cr_transport/http/cr_HttpResponseReader.cpp
+++ b/modules/cr_transport/http/cr_HttpResponseReader.cpp
@@ -98,6 +98,11 @@
                      beast::string_view aValue,
                      beast::error_code& aError) override
   {
+    if (m_isHeaderRead) {
+      // A field of the trailer is no field of the header (RFC 9110, section
+      // 6.5.1).
+      return;
+    }
     if (aField == http::field::content_length) {
       // Beast accepts equal lengths, in several fields or in one.
       if (m_hasLength || aValue.find(',') != beast::string_view::npos) {
@@ -113,7 +118,10 @@
     m_response.m_headers.push_back({ std::string(aName), std::string(aValue) });
   }
 
-  void on_header_impl(beast::error_code& /*aError*/) override {}
+  void on_header_impl(beast::error_code& /*aError*/) override
+  {
+    m_isHeaderRead = true;
+  }
 
   void on_body_init_impl(const boost::optional<std::uint64_t>& /*aLength*/,
                          beast::error_code& /*aError*/) override
@@ -151,6 +159,7 @@
   std::uint64_t m_reserved = 0;
   int m_version = 0;
   bool m_hasLength = false;
+  bool m_isHeaderRead = false;
 };
 
 HttpResponseReader::HttpResponseReader()
--- a/modules/cr_transport/tests/cr_BrokenAnswerTest.cpp
+++ b/modules/cr_transport/tests/cr_BrokenAnswerTest.cpp
@@ -342,6 +342,17 @@
                            return std::string(aInfo.param.m_name);
                          });
 
+TEST(BrokenAnswers, TrailerIsNoPartOfTheHeader)
+{
+  ScriptedServer server({ kOk + "Transfer-Encoding: chunked\r\n\r\n"
+                                "5\r\nwhole\r\n0\r\nNot-Run: 1\r\n\r\n" });
+  Client client;
+  const HttpResult result = client.Send(server.Address());
+  EXPECT_EQ(BodyOf(result), kFormBody);
+  EXPECT_EQ(FindHeader(std::get<HttpResponse>(result).m_headers, "Not-Run"),
+            "");
+}
+
 /* A length below the body's cannot be told from a complete answer with bytes
    behind it; these bytes begin no other answer. */
 TEST(BrokenAnswers, BytesBeyondTheLengthAreNoAnswer)
