--- a/modules/cr_transport/http/cr_HttpClient.cpp
+++ b/modules/cr_transport/http/cr_HttpClient.cpp
@@ -31,6 +31,8 @@
 constexpr unsigned kHttpVersion = 11;
 /* Lower status codes are informational. */
 constexpr unsigned kFirstFinalStatus = 200;
+/* Lower final status codes tell success. */
+constexpr unsigned kFirstRedirectionStatus = 300;
 
 http::request<http::string_body>
 ToMessage(HttpRequest&& aRequest, const Endpoint& aEndpoint)
@@ -355,8 +357,7 @@
         return IsSameHeader(aHeader.m_name, m_options.m_echoedHeader);
       });
     if (echoed == aResponse.m_headers.end()) {
-      return http::to_status_class(http::int_to_status(aResponse.m_status)) !=
-             http::status_class::successful;
+      return aResponse.m_status >= kFirstRedirectionStatus;
     }
     return echoed->m_value == m_message[m_options.m_echoedHeader];
   }
--- a/modules/cr_transport/tests/cr_BrokenAnswerTest.cpp
+++ b/modules/cr_transport/tests/cr_BrokenAnswerTest.cpp
@@ -342,6 +342,16 @@
                            return std::string(aInfo.param.m_name);
                          });
 
+TEST(BrokenAnswers, SuccessWithAnyStatusNeedsTheId)
+{
+  for (const char* status : { "200", "226", "250", "299" }) {
+    ScriptedServer server({ std::string("HTTP/1.1 ") + status +
+                            " X\r\nContent-Length: 5\r\n\r\nwhole" });
+    Client client;
+    EXPECT_TRUE(IsBroken(client.Send(server.Address()))) << status;
+  }
+}
+
 TEST(BrokenAnswers, TrailerIsNoPartOfTheHeader)
 {
   ScriptedServer server({ kOk + "Transfer-Encoding: chunked\r\n\r\n"
