An empty chunked answer may come in pieces

Beast's parser asserts that it gets the end of the chunks with five bytes or more. An answer of "0 CRLF", CR and LF in separate pieces has four at one moment: a build with assertions ended the process. A release build has no assertions. The reader waits for the five bytes that any rest of the chunks has.

BrokenAnswers.EmptyChunkedBodyMayComeInPieces on the code before: "Assertion `n >= 5' failed" in basic_parser.ipp, the program aborted; with the fix it passes.

--- a/modules/cr_transport/http/cr_HttpResponseReader.cpp
+++ b/modules/cr_transport/http/cr_HttpResponseReader.cpp
@@ -20,6 +20,8 @@
    nor body, such as chunk extensions and trailers. */
 constexpr std::size_t kMaxBufferBytes = 128 * 1024;
 constexpr std::size_t kMinReceivedBytes = 512;
+/* Size of the end of a chunked body. */
+constexpr std::size_t kChunksEndBytes = std::string_view("0\r\n\r\n").size();
 constexpr int kHttpVersion11 = 11;
 constexpr std::string_view kLineEnd = "\r\n";
 
@@ -202,6 +204,9 @@
           { static_cast<const char*>(bytes.data()), bytes.size() })) {
       return Break("folded header line");
     }
+  } else if (m_parser->chunked() && m_buffer.size() < kChunksEndBytes) {
+    // The parser asserts that it gets the end of the chunks as a whole.
+    return HttpResponseProgress::Incomplete;
   }
   return Parse();
 }
--- a/modules/cr_transport/tests/cr_BrokenAnswerTest.cpp
+++ b/modules/cr_transport/tests/cr_BrokenAnswerTest.cpp
@@ -377,6 +377,21 @@
   }
 }
 
+TEST(BrokenAnswers, EmptyChunkedBodyMayComeInPieces)
+{
+  ScriptedServer server([](const ScriptedRequest& /*aRequest*/) {
+    ScriptedAnswer answer;
+    answer.m_bytes = kOk + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    answer.m_pieceBytes = 1;
+    return answer;
+  });
+  Client client;
+  for (int round = 0; round < 20; ++round) {
+    EXPECT_EQ(BodyOf(client.Send(server.Address())), "");
+  }
+  EXPECT_EQ(server.Connections(), 1U);
+}
+
 TEST(BrokenAnswers, AnswersWithoutABodyEndWithTheirHeader)
 {
   for (const char* status : { "204", "304" }) {
