Log line and counter for broken answers

A broken answer was seen only as a request that ended badly. "broken-answer" says whose answer it was (server, node, health-check, store) and why it was refused; decisions_total counts it. RelayBrokenAnswer.* checks it for each form and reader.

Passed here: cr_transport_tests 708 tests, cr_relay_server_tests 25 tests.

--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -571,6 +571,7 @@
 void
 RelayServer::Implementation::OnHealthChecked(const HttpResult& aResult)
 {
+  LogBrokenAnswer(aResult, "health-check");
   HealthChecked event;
   if (const auto* failure = std::get_if<HttpFailure>(&aResult)) {
     event.m_isUnreachable = failure->m_unreachable;
--- a/modules/cr_relay_server/server/cr_RelayShell.h
+++ b/modules/cr_relay_server/server/cr_RelayShell.h
@@ -89,6 +89,9 @@
 
   std::vector<Suspect> ReadSuspects(std::string_view aText);
   void OnForwardCompleted(CallId aCall, HttpResult&& aResult);
+  void LogBrokenAnswer(const HttpResult& aResult,
+                       std::string_view aFrom,
+                       std::string_view aRequest = {});
   void OnDispatchCompleted(CallId aCall, HttpResult&& aResult);
   std::optional<ServerCondition> ReadCondition(const HttpResult& aResult);
   std::optional<StoreEra> ReadStoreEra(const HttpResult& aResult);
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -20,6 +20,7 @@
 constexpr Duration kPeerRoutesTimeout = Milliseconds(500);
 /* Added to the time for which a watch request lets the platform wait. */
 constexpr Duration kStoreTimeout = Seconds(2);
+constexpr std::string_view kBrokenAnswerEvent = "broken-answer";
 constexpr unsigned kStatusMisdirected = 421;
 constexpr unsigned kFirstErrorStatus = 500;
 
@@ -124,6 +125,26 @@
     });
 }
 
+/* The caller gets no byte of a broken answer; the line says why. */
+void
+RelayServer::Implementation::LogBrokenAnswer(const HttpResult& aResult,
+                                             std::string_view aFrom,
+                                             std::string_view aRequest)
+{
+  const auto* failure = std::get_if<HttpFailure>(&aResult);
+  if (failure == nullptr || !failure->m_brokenAnswer) {
+    return;
+  }
+  m_metrics.CountDecision(kBrokenAnswerEvent);
+  const std::string members = fmt::format(
+    "\"from\":\"{}\",\"why\":{}", aFrom, QuoteJson(failure->m_text));
+  if (aRequest.empty()) {
+    m_log.Write(kBrokenAnswerEvent, members);
+  } else {
+    m_log.Write(kBrokenAnswerEvent, aRequest, members);
+  }
+}
+
 void
 RelayServer::Implementation::OnForwardCompleted(CallId aCall,
                                                 HttpResult&& aResult)
@@ -132,6 +153,7 @@
   if (pending == nullptr) {
     return;
   }
+  LogBrokenAnswer(aResult, "node", pending->m_id);
   if (const auto* failure = std::get_if<HttpFailure>(&aResult)) {
     ProcessEvent(ForwardFailed{ aCall, failure->m_sent, failure->m_timedOut });
     return;
@@ -195,6 +217,8 @@
                                                  HttpResult&& aResult)
 {
   PendingCall* pending = FindPendingCall(aCall);
+  LogBrokenAnswer(
+    aResult, "server", pending != nullptr ? pending->m_id : std::string());
   const std::optional<ServerCondition> condition = ReadCondition(aResult);
   const auto* failure = std::get_if<HttpFailure>(&aResult);
   const bool isServerGone =
@@ -393,6 +417,7 @@
     WatchWait(aAction.m_request) + kStoreTimeout,
     [weak = weak_from_this(), action = aAction](const HttpResult& aResult) {
       if (const auto self = weak.lock()) {
+        self->LogBrokenAnswer(aResult, "store");
         StoreAnswer answer =
           self->m_adapter.m_readStoreAnswer(action.m_request, aResult);
         self->m_metrics.CountStore(action.m_request, answer);
@@ -447,6 +472,7 @@
       if (!self) {
         return;
       }
+      self->LogBrokenAnswer(aResult, "node");
       const auto* response = std::get_if<HttpResponse>(&aResult);
       if (response != nullptr && response->m_status == kHttpOk) {
         self->LoadRoutes(response->m_body, "node");
--- a/modules/cr_relay_server/tests/cr_RelayBrokenAnswerTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayBrokenAnswerTest.cpp
@@ -167,6 +167,8 @@
       for (const std::string service : { "status", "booking" }) {
         SCOPED_TRACE(forms[form].m_name + " of " + service + " by way of " +
                      std::to_string(entry));
+        const std::size_t server =
+          service == "booking" ? kBookingHost : kStatusHost;
         // The first connection after a broken answer is fresh, the next is
         // kept.
         for (const bool isKept : { false, true }) {
@@ -176,7 +178,9 @@
           }
           const std::string target =
             "/" + service + "/broken/" + std::to_string(++number);
+          const int logged = fleet.CountDecisions(server, "broken-answer");
           ExpectBadGateway(SendUntilRun(fleet, script, entry, target));
+          EXPECT_GT(fleet.CountDecisions(server, "broken-answer"), logged);
           if (service == "booking") {
             EXPECT_EQ(script.Runs(target), 1);
           }
@@ -270,9 +274,11 @@
     SCOPED_TRACE(forms[form].m_name);
     ASSERT_EQ(fleet.SendUntil(kStatusHost, "/booking/7", kHttpOk), kHttpOk);
     runs = 0;
+    const int logged = fleet.CountDecisions(kStatusHost, "broken-answer");
     ExpectBadGateway(
       fleet.Send(kStatusHost, "/booking/broken/" + std::to_string(form)));
     EXPECT_EQ(runs, 1);
+    EXPECT_GT(fleet.CountDecisions(kStatusHost, "broken-answer"), logged);
   }
 }
 
@@ -308,6 +314,7 @@
     }
     EXPECT_EQ(fleet.Send(0, "/status/7").m_status, kHttpUnavailable);
     EXPECT_EQ(runs, 0);
+    EXPECT_GT(fleet.CountDecisions(0, "broken-answer"), 0);
     isBroken = false;
     EXPECT_EQ(fleet.SendUntil(0, "/status/7", kHttpOk), kHttpOk);
   }
@@ -403,6 +410,7 @@
     std::this_thread::sleep_for(Milliseconds(100));
     EXPECT_EQ(fleet.Send(0, "/status/7").m_status, kHttpUnavailable);
     EXPECT_EQ(fleet.At(0).m_requestsRun, 0);
+    EXPECT_GT(fleet.CountDecisions(0, "broken-answer"), 0);
     store.Forward(fleet.PlatformAddress(), "");
     unsigned status = 0;
     for (int wait = 0; wait < 1000 && status != kHttpOk; ++wait) {
--- a/modules/cr_transport/http/cr_HttpClient.cpp
+++ b/modules/cr_transport/http/cr_HttpClient.cpp
@@ -297,7 +297,7 @@
     } else if (aError == asio::error::eof) {
       OnEnd();
     } else {
-      Fail(aError.message(), false);
+      FailReading(aError.message());
     }
   }
 
@@ -308,7 +308,7 @@
         ReadMore();
         break;
       case HttpResponseProgress::Broken:
-        Fail(m_connection->m_reader.Error(), false);
+        FailReading(m_connection->m_reader.Error());
         break;
       case HttpResponseProgress::Complete:
         OnResponseRead();
@@ -316,6 +316,12 @@
     }
   }
 
+  void FailReading(std::string aText)
+  {
+    m_brokenAnswer = m_connection->m_reader.IsStarted();
+    Fail(std::move(aText), false);
+  }
+
   void OnResponseRead()
   {
     HttpResponseReader& reader = m_connection->m_reader;
@@ -397,7 +403,8 @@
     m_done = true;
     m_deadline->cancel();
     CloseConnection();
-    Finish(HttpFailure{ m_sent, aTimedOut, m_unreachable, std::move(aText) });
+    Finish(HttpFailure{
+      m_sent, aTimedOut, m_unreachable, m_brokenAnswer, std::move(aText) });
   }
 
   /* Keeps the connection object, since pending handlers still use it. */
@@ -428,6 +435,7 @@
   HttpConnectionEnd m_connectionEnd = HttpConnectionEnd::Orderly;
   bool m_sent = false;
   bool m_unreachable = false;
+  bool m_brokenAnswer = false;
   bool m_done = false;
   int m_droppedResponses = 0;
   int m_sendRound = 0;
--- a/modules/cr_transport/http/cr_HttpClient.h
+++ b/modules/cr_transport/http/cr_HttpClient.h
@@ -21,6 +21,9 @@
   bool m_timedOut = false;
   /** True when no connection could be opened. */
   bool m_unreachable = false;
+  /** True when bytes were received that are no whole and well-formed response.
+   */
+  bool m_brokenAnswer = false;
   std::string m_text;
 };
 
