--- a/modules/cr_relay_server/tests/cr_RelayFleet.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.cpp
@@ -68,7 +68,7 @@
 }
 
 RelayFleet::RelayFleet(const std::vector<std::string>& aServices,
-                       std::optional<Endpoint> aStore)
+                       const std::optional<Endpoint>& aStore)
   : m_platformAddress(m_platform.Listen({ "127.0.0.1", 0 }).value())
   , m_storeAddress(aStore.value_or(m_platformAddress))
 {
--- a/modules/cr_relay_server/tests/cr_RelayFleet.h
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.h
@@ -44,7 +44,7 @@
 
   /** Nodes call the store at the given endpoint, or else the stand-in. */
   explicit RelayFleet(const std::vector<std::string>& aServices,
-                      std::optional<Endpoint> aStore = std::nullopt);
+                      const std::optional<Endpoint>& aStore = std::nullopt);
   ~RelayFleet();
   RelayFleet(const RelayFleet&) = delete;
   RelayFleet& operator=(const RelayFleet&) = delete;
--- a/stand_ins/scripted_stand_in/answer/cr_AnswerForms.cpp
+++ b/stand_ins/scripted_stand_in/answer/cr_AnswerForms.cpp
@@ -141,13 +141,15 @@
     aForms.AddWithLength(name, field);
   }
   const std::string& ok = FormList::kOk;
+  const std::string afterBlank = "Name: x\r\n" + aForms.Fields() +
+                                 FormList::kLength + "\r\n" + FormList::kBody;
   // The first line has no line before it to continue.
   for (const auto& [name, blank] :
        { std::pair{ "FirstNameWithBlankAtStart", " " },
          std::pair{ "FirstNameWithTabAtStart", "\t" } }) {
+    std::string bytes = ok;
     aForms.AddBytes(name,
-                    ok + "\r\n" + blank + "Name: x\r\n" + aForms.Fields() +
-                      FormList::kLength + "\r\n" + FormList::kBody);
+                    bytes.append("\r\n").append(blank).append(afterBlank));
   }
   aForms.Add("FoldedLength",
              ok,
