Includes that are no longer used, and a comment

HttpClient has no atomics of its own since the budget moved, and HttpPassThroughTest no socket reader.

--- a/modules/cr_transport/http/cr_HttpClient.cpp
+++ b/modules/cr_transport/http/cr_HttpClient.cpp
@@ -1,7 +1,6 @@
 #include "cr_transport/http/cr_HttpClient.h"
 
 #include <algorithm>
-#include <atomic>
 #include <future>
 #include <map>
 #include <mutex>
--- a/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
+++ b/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
@@ -6,8 +6,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 
 #include "cr_transport/cr_transport.h"
--- a/stand_ins/scripted_stand_in/server/cr_ScriptedServer.h
+++ b/stand_ins/scripted_stand_in/server/cr_ScriptedServer.h
@@ -82,8 +82,8 @@
   /** Returns the number of connections accepted so far. */
   std::size_t Connections() const;
 
-  /** Returns the number of answers after which the connection was kept, ended
-      or reset as their handler asked. */
+  /** Returns the number of answers so far; one counts when its connection was
+      kept or ended as the handler asked. */
   std::size_t Answers() const;
 
 private:
