HttpPipeline: a half-read request is waited for on the server's timers

The test slept 200 ms and relied on the server's timers of 50 ms having run meanwhile; a stall of the process makes both due at once.

The test now waits as long on timers of the server's own thread; its checks are the same.

--- a/modules/cr_transport/tests/cr_HttpPipelineTest.cpp
+++ b/modules/cr_transport/tests/cr_HttpPipelineTest.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <condition_variable>
 #include <functional>
+#include <future>
 #include <map>
 #include <mutex>
 #include <random>
@@ -62,6 +63,15 @@
       lock, kLongWait, [&] { return m_held.contains(aTarget); });
   }
 
+  /* Waits on the server's timers: a stall of the process delays them together
+     with those of the connections. */
+  void WaitOnTimers(Duration aDuration)
+  {
+    std::promise<void> expired;
+    m_threads.After(aDuration, [&] { expired.set_value(); });
+    expired.get_future().wait();
+  }
+
   bool HasSeen(const std::string& aTarget)
   {
     const std::lock_guard lock(m_mutex);
@@ -445,7 +455,9 @@
   caller.Get("/1");
   caller.Write("GET /half HTTP/1.1\r\nName: ");
   ASSERT_TRUE(server.WaitFor("/1"));
-  std::this_thread::sleep_for(Milliseconds(200));
+  for (int wait = 0; wait < 4; ++wait) {
+    server.WaitOnTimers(limits.m_header);
+  }
   server.Respond("/1");
   const std::string response = caller.ReadResponse();
   EXPECT_TRUE(response.ends_with("for /1"));
