ScriptedServer joins the threads of ended connections

It keeps memory for each thread until it is joined, and the stand-in joined its threads, one a connection, only at its end: over 600 in one test.

Each accept now joins the threads of connections that have ended.

--- a/stand_ins/scripted_stand_in/server/cr_ScriptedServer.cpp
+++ b/stand_ins/scripted_stand_in/server/cr_ScriptedServer.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <atomic>
+#include <memory>
+#include <mutex>
 #include <thread>
 #include <utility>
 
@@ -72,15 +74,14 @@
     m_isStopping = true;
     ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
     m_accepting.join();
-    m_sockets.WithLock([](const auto& aSockets) {
-      for (const auto& socket : aSockets) {
-        if (socket->is_open()) {
-          ::shutdown(socket->native_handle(), SHUT_RDWR);
-        }
+    for (const auto& connection : m_open) {
+      const std::lock_guard lock(m_closing);
+      if (connection->m_socket.is_open()) {
+        ::shutdown(connection->m_socket.native_handle(), SHUT_RDWR);
       }
-    });
-    for (std::thread& answering : m_answering) {
-      answering.join();
+    }
+    for (const auto& connection : m_open) {
+      connection->m_thread.join();
     }
   }
 
@@ -94,24 +95,50 @@
   std::atomic<std::size_t> m_answers{ 0 };
 
 private:
-  using SocketPointer = std::shared_ptr<tcp::socket>;
+  struct Connection
+  {
+    explicit Connection(asio::io_context& aContext)
+      : m_socket(aContext)
+    {
+    }
+
+    tcp::socket m_socket;
+    std::thread m_thread;
+    std::atomic<bool> m_isEnded{ false };
+  };
 
   void Accept()
   {
     while (true) {
       AsioErrorCode error;
-      auto socket = std::make_shared<tcp::socket>(m_context);
-      m_acceptor.accept(*socket, error);
+      auto connection = std::make_unique<Connection>(m_context);
+      m_acceptor.accept(connection->m_socket, error);
       if (error || m_isStopping) {
         return;
       }
       ++m_connections;
-      socket->set_option(tcp::no_delay(true), error);
-      m_sockets.WithLock([&](auto& aSockets) { aSockets.push_back(socket); });
-      m_answering.emplace_back([this, socket] { Serve(*socket); });
+      connection->m_socket.set_option(tcp::no_delay(true), error);
+      JoinEnded();
+      connection->m_thread = std::thread([this, served = connection.get()] {
+        Serve(served->m_socket);
+        served->m_isEnded = true;
+      });
+      m_open.push_back(std::move(connection));
     }
   }
 
+  /* ThreadSanitizer keeps memory for each thread until it is joined. */
+  void JoinEnded()
+  {
+    std::erase_if(m_open, [](const auto& aConnection) {
+      if (!aConnection->m_isEnded) {
+        return false;
+      }
+      aConnection->m_thread.join();
+      return true;
+    });
+  }
+
   void Serve(tcp::socket& aSocket)
   {
     std::string received;
@@ -212,13 +239,11 @@
     }
   }
 
-  /* The destructor looks at the sockets under the lock. */
   void Close(tcp::socket& aSocket)
   {
-    m_sockets.WithLock([&](auto& /*aSockets*/) {
-      AsioErrorCode ignored;
-      aSocket.close(ignored);
-    });
+    const std::lock_guard lock(m_closing);
+    AsioErrorCode ignored;
+    aSocket.close(ignored);
   }
 
   const ScriptedHandler m_handler;
@@ -226,9 +251,10 @@
   asio::io_context m_context;
   tcp::acceptor m_acceptor;
   std::atomic<bool> m_isStopping{ false };
-  Guarded<std::vector<SocketPointer>> m_sockets;
+  /* Held while a socket is closed, or looked at by another thread. */
+  std::mutex m_closing;
   /* Used by the accepting thread, and by the destructor after it has ended. */
-  std::vector<std::thread> m_answering;
+  std::vector<std::unique_ptr<Connection>> m_open;
   std::thread m_accepting;
 };
 
