No copy of the identifier for each completed dispatch

OnDispatchCompleted chose between a string and an empty temporary, which copied the request's identifier after every answer for a log line that only broken ones write. A view does without. The reader's header included a file that it does not use.

--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -217,8 +217,9 @@
                                                  HttpResult&& aResult)
 {
   PendingCall* pending = FindPendingCall(aCall);
-  LogBrokenAnswer(
-    aResult, "server", pending != nullptr ? pending->m_id : std::string());
+  LogBrokenAnswer(aResult,
+                  "server",
+                  pending != nullptr ? std::string_view(pending->m_id) : "");
   const std::optional<ServerCondition> condition = ReadCondition(aResult);
   const auto* failure = std::get_if<HttpFailure>(&aResult);
   const bool isServerGone =
--- a/modules/cr_transport/http/cr_HttpResponseReader.h
+++ b/modules/cr_transport/http/cr_HttpResponseReader.h
@@ -6,7 +6,6 @@
 #include <string>
 
 #include <boost/asio/buffer.hpp>
-#include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include "cr_transport/http/cr_HttpBodyBudget.h"
