Tests: one function makes an answer of a form, one finds a field of a request

cr_BrokenAnswerTest and cr_RelayBrokenAnswerTest each turned a form into an answer, and the latter looked for a field of a request's head as ScriptedServer does for the length. Both functions are the stand-in's now. No check, form or bound changes.

--- a/modules/cr_relay_server/tests/cr_RelayBrokenAnswerTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayBrokenAnswerTest.cpp
@@ -14,20 +14,6 @@
 constexpr std::size_t kBookingHost = 1;
 constexpr std::string_view kServerHeader = "Cr-Server";
 
-/* Returns the value of a field in a request's head; empty when missing. */
-std::string
-FieldOf(const ScriptedRequest& aRequest, const std::string& aName)
-{
-  const std::string field = "\r\n" + aName + ": ";
-  const std::size_t place = aRequest.m_head.find(field);
-  if (place == std::string::npos) {
-    return {};
-  }
-  const std::size_t start = place + field.size();
-  return aRequest.m_head.substr(start,
-                                aRequest.m_head.find("\r\n", start) - start);
-}
-
 std::string
 TargetOf(const ScriptedRequest& aRequest)
 {
@@ -46,7 +32,7 @@
 std::string
 ServerFields(const ScriptedRequest& aRequest)
 {
-  const std::string id = FieldOf(aRequest, "Cr-Request");
+  const std::string id(FindField(aRequest, "Cr-Request"));
   return (id.empty() ? "" : "Cr-Request: " + id + "\r\n") +
          "Cr-Server: server\r\nCr-Server-Load: 0,0,8\r\n";
 }
@@ -57,15 +43,6 @@
   return SoundAnswers(ServerFields(aRequest)).front();
 }
 
-ScriptedAnswer
-ToAnswer(AnswerForm aForm)
-{
-  ScriptedAnswer answer;
-  answer.m_bytes = std::move(aForm.m_bytes);
-  answer.m_ending = aForm.m_ending;
-  return answer;
-}
-
 /* Broken forms without the many places at which chunks are cut. */
 std::vector<AnswerForm>
 BrokenForms(std::string_view aFields)
@@ -113,10 +90,10 @@
   {
     const std::string target = TargetOf(aRequest);
     if (target.find("/broken/") == std::string::npos) {
-      return ToAnswer(SoundForm(aRequest));
+      return MakeAnswer(SoundForm(aRequest));
     }
     ++aState.m_runs[target];
-    return ToAnswer(BrokenForms(ServerFields(aRequest)).at(aState.m_form));
+    return MakeAnswer(BrokenForms(ServerFields(aRequest)).at(aState.m_form));
   }
 
   Guarded<State> m_state;
@@ -200,7 +177,7 @@
       host,
       [](const ScriptedRequest& aRequest) {
         if (TargetOf(aRequest).find("/broken") == std::string::npos) {
-          return ToAnswer(SoundForm(aRequest));
+          return MakeAnswer(SoundForm(aRequest));
         }
         ScriptedAnswer answer;
         answer.m_bytes =
@@ -264,9 +241,9 @@
     [&](const ScriptedRequest& aRequest) {
       if (TargetOf(aRequest).starts_with("/booking/broken")) {
         ++runs;
-        return ToAnswer(BrokenForms(fields(aRequest)).at(form));
+        return MakeAnswer(BrokenForms(fields(aRequest)).at(form));
       }
-      return ToAnswer(SoundAnswers(fields(aRequest)).front());
+      return MakeAnswer(SoundAnswers(fields(aRequest)).front());
     },
     settings);
   const std::vector<AnswerForm> forms = BrokenForms("");
@@ -298,7 +275,7 @@
       fleet.ReplaceServer(0, [&](const ScriptedRequest& aRequest) {
         if (!IsHealthCheck(aRequest)) {
           ++runs;
-          return ToAnswer(SoundForm(aRequest));
+          return MakeAnswer(SoundForm(aRequest));
         }
         ++checks;
         const auto forms = BrokenForms(ServerFields(aRequest));
@@ -306,7 +283,7 @@
           std::find_if(forms.begin(), forms.end(), [&](const auto& aForm) {
             return aForm.m_name == name;
           });
-        return ToAnswer(isBroken ? *form : SoundForm(aRequest));
+        return MakeAnswer(isBroken ? *form : SoundForm(aRequest));
       });
     fleet.WriteRoutes(1, { "status" });
     while (checks < 2) {
--- a/modules/cr_transport/tests/cr_BrokenAnswerTest.cpp
+++ b/modules/cr_transport/tests/cr_BrokenAnswerTest.cpp
@@ -73,16 +73,6 @@
   return aInfo.param.m_name;
 }
 
-ScriptedAnswer
-MakeAnswer(const AnswerForm& aForm, std::size_t aPieceBytes = 0)
-{
-  ScriptedAnswer answer;
-  answer.m_bytes = aForm.m_bytes;
-  answer.m_ending = aForm.m_ending;
-  answer.m_pieceBytes = aPieceBytes;
-  return answer;
-}
-
 class BrokenAnswer : public testing::TestWithParam<AnswerForm>
 {};
 
@@ -90,7 +80,9 @@
 {
   for (const std::size_t pieceBytes : { 0, 1 }) {
     ScriptedServer server([&](const ScriptedRequest& /*aRequest*/) {
-      return MakeAnswer(GetParam(), pieceBytes);
+      ScriptedAnswer answer = MakeAnswer(GetParam());
+      answer.m_pieceBytes = pieceBytes;
+      return answer;
     });
     Client client;
     EXPECT_TRUE(IsBroken(client.Send(server.Address())));
@@ -152,7 +144,8 @@
 {
   for (const std::size_t pieceBytes : { 0, 1 }) {
     ScriptedServer server([&](const ScriptedRequest& /*aRequest*/) {
-      ScriptedAnswer answer = MakeAnswer(GetParam(), pieceBytes);
+      ScriptedAnswer answer = MakeAnswer(GetParam());
+      answer.m_pieceBytes = pieceBytes;
       // A reset discards what the kernel has not sent yet.
       answer.m_pause = pieceBytes == 0 ? Duration::zero() : Milliseconds(50);
       return answer;
--- a/stand_ins/scripted_stand_in/answer/cr_AnswerForms.cpp
+++ b/stand_ins/scripted_stand_in/answer/cr_AnswerForms.cpp
@@ -271,6 +271,15 @@
 
 }
 
+ScriptedAnswer
+MakeAnswer(const AnswerForm& aForm)
+{
+  ScriptedAnswer answer;
+  answer.m_bytes = aForm.m_bytes;
+  answer.m_ending = aForm.m_ending;
+  return answer;
+}
+
 void
 PrintTo(const AnswerForm& aForm, std::ostream* aStream)
 {
--- a/stand_ins/scripted_stand_in/answer/cr_AnswerForms.h
+++ b/stand_ins/scripted_stand_in/answer/cr_AnswerForms.h
@@ -18,6 +18,10 @@
   ConnectionEnding m_ending = ConnectionEnding::Keep;
 };
 
+/** Returns the answer of a scripted server that has the form. Thread safe. */
+ScriptedAnswer
+MakeAnswer(const AnswerForm& aForm);
+
 /** Prints the name, for GoogleTest. Thread safe. */
 void
 PrintTo(const AnswerForm& aForm, std::ostream* aStream);
--- a/stand_ins/scripted_stand_in/server/cr_ScriptedServer.cpp
+++ b/stand_ins/scripted_stand_in/server/cr_ScriptedServer.cpp
@@ -26,21 +26,6 @@
 using tcp = asio::ip::tcp;
 using AsioErrorCode = boost::system::error_code;
 
-/* Returns the length that a request's head names; 0 without one. */
-std::size_t
-ContentLength(std::string_view aHead)
-{
-  constexpr std::string_view field = "\r\nContent-Length: ";
-  const std::size_t place = aHead.find(field);
-  if (place == std::string_view::npos) {
-    return 0;
-  }
-  const std::size_t start = place + field.size();
-  return ParseNumber<std::size_t>(
-           aHead.substr(start, aHead.find("\r\n", start) - start))
-    .value_or(0);
-}
-
 ScriptedHandler
 AnswerInTurn(std::vector<std::string> aTexts, ConnectionEnding aEnding)
 {
@@ -56,6 +41,19 @@
 
 }
 
+std::string_view
+FindField(const ScriptedRequest& aRequest, std::string_view aName)
+{
+  const std::string_view head = aRequest.m_head;
+  const std::string field = "\r\n" + std::string(aName) + ": ";
+  const std::size_t place = head.find(field);
+  if (place == std::string_view::npos) {
+    return {};
+  }
+  const std::size_t start = place + field.size();
+  return head.substr(start, head.find("\r\n", start) - start);
+}
+
 class ScriptedServer::Implementation
 {
 public:
@@ -155,7 +153,9 @@
       }
       request.m_head = received.substr(0, size);
       received.erase(0, size);
-      const std::size_t length = ContentLength(request.m_head);
+      const std::size_t length =
+        ParseNumber<std::size_t>(FindField(request, "Content-Length"))
+          .value_or(0);
       unread = std::min(length, m_settings.m_unreadBytes);
       ReadExactly(aSocket, received, length - unread, error);
       if (error) {
--- a/stand_ins/scripted_stand_in/server/cr_ScriptedServer.h
+++ b/stand_ins/scripted_stand_in/server/cr_ScriptedServer.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cr_settings/cr_settings.h"
@@ -34,6 +35,11 @@
   std::size_t m_earlier = 0;
 };
 
+/** Returns the value of the field with exactly the name in a request's head;
+    empty when there is none. Thread safe. */
+std::string_view
+FindField(const ScriptedRequest& aRequest, std::string_view aName);
+
 /** The bytes that answer a request. */
 struct ScriptedAnswer
 {
