A late answer to an earlier sending is not the answer to the next (TWICE, REFUSED)

Callers' requests that are not idempotent ran twice, or were answered 503 and ran. A server that sends some answers a second time, late, rejected a request; when all hosts of the service had rejected it, the entry sent it to them again, with the same identifier. The gate's client used the connection of the first sending, and took the copy of the first rejection, which has that identifier, for the answer.

Cause: the client matches answers by the identifier alone, which names a request and not a sending. Three ways in which two exchanges on a connection share it, one test each: - A request that a host gets again. The entry marks it (RelayHeader::m_isResent, optional on the wire), and both hops send it on a new connection. - An error answer without an identifier. Its connection is not reused. - A health check, whose answer has none. It has a connection of its own.

--- a/modules/cr_relay_server/server/cr_RelayShell.h
+++ b/modules/cr_relay_server/server/cr_RelayShell.h
@@ -101,7 +101,9 @@
                                 HttpResult&& aResult) const;
   HttpRequest MakeUpstreamRequest(const PendingCall& aPendingCall,
                                   Duration aRemaining) const;
-  HttpSendOptions MakeSendOptions(Duration aTimeout, bool aIsIdempotent) const;
+  HttpSendOptions MakeSendOptions(Duration aTimeout,
+                                  bool aIsIdempotent,
+                                  bool aIsResent) const;
   void CompleteCall(CallId aCall,
                     HttpResponse&& aResponse,
                     const RelayReport& aReport);
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -14,6 +14,9 @@
    The other end may have closed one that idled longer, and then it is unknown
    whether the request ran. */
 constexpr Duration kNonIdempotentIdleLimit = Milliseconds(800);
+/* On a connection that has carried the same request before, a late copy of the
+   first answer could not be told from the answer to the second sending. */
+constexpr Duration kNoReuse = Duration::zero();
 /* The caller of a younger request was connected when the request was read. */
 constexpr Duration kRecentlyCheckedAge = Milliseconds(5);
 constexpr Duration kHealthTimeout = Milliseconds(500);
@@ -67,13 +70,16 @@
 
 HttpSendOptions
 RelayServer::Implementation::MakeSendOptions(Duration aTimeout,
-                                             bool aIsIdempotent) const
+                                             bool aIsIdempotent,
+                                             bool aIsResent) const
 {
   HttpSendOptions options;
   options.m_timeout = std::max<Duration>(aTimeout, Milliseconds(1));
   options.m_echoedHeader = m_adapter.m_headers.m_requestId;
   options.m_resendIfStale = aIsIdempotent;
-  if (!aIsIdempotent) {
+  if (aIsResent) {
+    options.m_idleLimit = kNoReuse;
+  } else if (!aIsIdempotent) {
     options.m_idleLimit = kNonIdempotentIdleLimit;
   }
   return options;
@@ -117,7 +123,8 @@
     aAction.m_peer,
     std::move(request),
     MakeSendOptions(aAction.m_header.m_remaining + kPeerAnswerMargin,
-                    aAction.m_header.m_isIdempotent),
+                    aAction.m_header.m_isIdempotent,
+                    aAction.m_header.m_isResent),
     [weak = weak_from_this(), call = aAction.m_call](HttpResult aResult) {
       if (const auto self = weak.lock()) {
         self->OnForwardCompleted(call, std::move(aResult));
@@ -204,7 +211,8 @@
   pending->m_dispatch = m_serverClient.Send(
     m_settings.m_server,
     std::move(request),
-    MakeSendOptions(aAction.m_remaining, aAction.m_isIdempotent),
+    MakeSendOptions(
+      aAction.m_remaining, aAction.m_isIdempotent, aAction.m_isResent),
     [weak = weak_from_this(), call = aAction.m_call](HttpResult aResult) {
       if (const auto self = weak.lock()) {
         self->OnDispatchCompleted(call, std::move(aResult));
@@ -399,9 +407,12 @@
 {
   HttpRequest request;
   request.m_target = aAction.m_path;
+  HttpSendOptions options;
+  options.m_timeout = kHealthTimeout;
+  options.m_isOnOwnConnection = true;
   m_serverClient.Send(m_settings.m_server,
                       std::move(request),
-                      kHealthTimeout,
+                      options,
                       [weak = weak_from_this()](const HttpResult& aResult) {
                         if (const auto self = weak.lock()) {
                           self->OnHealthChecked(aResult);
--- a/modules/cr_relay_server/tests/cr_RelayBrokenAnswerTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayBrokenAnswerTest.cpp
@@ -5,6 +5,7 @@
 
 #include "cr_relay_server/protocol/cr_RelayCodec.h"
 #include "tests/cr_RelayFleet.h"
+#include "tests/cr_ScriptedBackend.h"
 
 namespace cr {
 
@@ -14,35 +15,6 @@
 constexpr std::size_t kBookingHost = 1;
 constexpr std::string_view kServerHeader = "Cr-Server";
 
-std::string
-TargetOf(const ScriptedRequest& aRequest)
-{
-  const std::size_t start = aRequest.m_head.find(' ') + 1;
-  return aRequest.m_head.substr(start,
-                                aRequest.m_head.find(' ', start) - start);
-}
-
-bool
-IsHealthCheck(const ScriptedRequest& aRequest)
-{
-  return TargetOf(aRequest) == "/health";
-}
-
-/* Returns the header lines of a backend server's answer. */
-std::string
-ServerFields(const ScriptedRequest& aRequest)
-{
-  const std::string id(FindField(aRequest, "Cr-Request"));
-  return (id.empty() ? "" : "Cr-Request: " + id + "\r\n") +
-         "Cr-Server: server\r\nCr-Server-Load: 0,0,8\r\n";
-}
-
-AnswerForm
-SoundForm(const ScriptedRequest& aRequest)
-{
-  return SoundAnswers(ServerFields(aRequest)).front();
-}
-
 /* Broken forms without the many places at which chunks are cut. */
 std::vector<AnswerForm>
 BrokenForms(std::string_view aFields)
--- a/modules/cr_transport/http/cr_HttpClient.cpp
+++ b/modules/cr_transport/http/cr_HttpClient.cpp
@@ -150,9 +150,7 @@
     , m_options(std::move(aOptions))
     , m_message(ToMessage(std::move(aRequest), m_endpoint))
     , m_callback(std::move(aCallback))
-    , m_connection(m_client->AcquireIdle(
-        m_endpoint,
-        m_options.m_idleLimit.value_or(m_client->m_settings.m_idleLimit)))
+    , m_connection(m_client->AcquireIdle(m_endpoint, IdleLimit()))
     , m_reused(m_connection != nullptr)
   {
     if (!m_connection) {
@@ -183,6 +181,13 @@
   }
 
 private:
+  Duration IdleLimit() const
+  {
+    return m_options.m_isOnOwnConnection
+             ? Duration::zero()
+             : m_options.m_idleLimit.value_or(m_client->m_settings.m_idleLimit);
+  }
+
   void Connect()
   {
     beast::error_code error;
@@ -336,7 +341,8 @@
     m_done = true;
     m_deadline->cancel();
     const bool reusable =
-      reader.KeepsConnection() && !reader.HasUnreadBytes() && m_written;
+      reader.KeepsConnection() && !reader.HasUnreadBytes() && m_written &&
+      !m_options.m_isOnOwnConnection && IsIdentified(reader.Response());
     HttpResponse response = reader.Take();
     if (reusable) {
       m_client->ReleaseIdle(m_endpoint, std::move(m_connection));
@@ -355,16 +361,31 @@
     if (m_options.m_echoedHeader.empty()) {
       return true;
     }
+    const HttpHeader* echoed = FindEchoedHeader(aResponse);
+    if (echoed == nullptr) {
+      return aResponse.m_status >= kFirstRedirectionStatus;
+    }
+    return echoed->m_value == m_message[m_options.m_echoedHeader];
+  }
+
+  /* Returns null if the response doesn't have the header. */
+  const HttpHeader* FindEchoedHeader(const HttpResponse& aResponse) const
+  {
     const auto echoed = std::find_if(
       aResponse.m_headers.begin(),
       aResponse.m_headers.end(),
       [&](const HttpHeader& aHeader) {
         return IsSameHeader(aHeader.m_name, m_options.m_echoedHeader);
       });
-    if (echoed == aResponse.m_headers.end()) {
-      return aResponse.m_status >= kFirstRedirectionStatus;
-    }
-    return echoed->m_value == m_message[m_options.m_echoedHeader];
+    return echoed != aResponse.m_headers.end() ? &*echoed : nullptr;
+  }
+
+  /* Returns whether a late copy of the response can be told from the responses
+     to later requests, as far as they have identifiers. */
+  bool IsIdentified(const HttpResponse& aResponse) const
+  {
+    return m_options.m_echoedHeader.empty() ||
+           FindEchoedHeader(aResponse) != nullptr;
   }
 
   bool MayResend() const
--- a/modules/cr_transport/http/cr_HttpClient.h
+++ b/modules/cr_transport/http/cr_HttpClient.h
@@ -66,8 +66,16 @@
   std::optional<Duration> m_idleLimit;
   /** Header that a response echoes from the request; empty for none. A complete
       response with another value belongs to another request: it is discarded,
-      and the next response on the connection is read. */
+      and the next response on the connection is read. The value identifies the
+      response only on a connection that has carried no earlier request with the
+      same value: a request that is sent to the endpoint once more needs a new
+      connection (m_idleLimit). A connection is not reused after a response
+      without the header, as a late copy of it could not be identified. */
   std::string m_echoedHeader;
+  /** Sends the request on a new connection and closes it after the response.
+      For requests whose response has no identifier, if requests with one are
+      sent to the same endpoint. */
+  bool m_isOnOwnConnection = false;
   /** Resend once on a new connection when a reused connection breaks before the
       first byte of a response. Only for requests that are safe to repeat. */
   bool m_resendIfStale = false;
--- a/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
+++ b/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
@@ -68,6 +68,51 @@
   EXPECT_EQ(std::get<HttpResponse>(result).m_status, kHttpUnavailable);
 }
 
+/* Review 11: a late copy of an answer without an identifier was taken for the
+   answer to the next request. */
+TEST(HttpPassThrough, AnswerWithoutTheIdIsTheLastOnItsConnection)
+{
+  const std::string refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+  ScriptedServer server([&](const ScriptedRequest& aRequest) {
+    ScriptedAnswer answer{ refusal };
+    if (FindField(aRequest, "Echo") == "second") {
+      answer.m_bytes =
+        (aRequest.m_earlier > 0 ? refusal : "") + Answer("second", "right");
+    }
+    return answer;
+  });
+  Client client;
+  const auto first = SendWithId(client.m_client, server.Address(), "first");
+  ASSERT_TRUE(std::holds_alternative<HttpResponse>(first));
+  EXPECT_EQ(std::get<HttpResponse>(first).m_status, kHttpUnavailable);
+  const auto second = SendWithId(client.m_client, server.Address(), "second");
+  ASSERT_TRUE(std::holds_alternative<HttpResponse>(second));
+  EXPECT_EQ(std::get<HttpResponse>(second).m_body, "right");
+}
+
+TEST(HttpPassThrough, RequestOnItsOwnConnectionSharesItWithNoOther)
+{
+  ScriptedServer server([](const ScriptedRequest& aRequest) {
+    return ScriptedAnswer{ Answer(std::string(FindField(aRequest, "Echo")),
+                                  std::to_string(aRequest.m_earlier)) };
+  });
+  Client client;
+  HttpSendOptions ownConnection;
+  ownConnection.m_isOnOwnConnection = true;
+  std::size_t number = 0;
+  const auto send = [&](const HttpSendOptions& aOptions) {
+    const auto result = SendWithId(
+      client.m_client, server.Address(), std::to_string(++number), aOptions);
+    const auto* response = std::get_if<HttpResponse>(&result);
+    return response != nullptr ? response->m_body : "no answer";
+  };
+  EXPECT_EQ(send({}), "0");
+  EXPECT_EQ(send(ownConnection), "0");
+  EXPECT_EQ(send(ownConnection), "0");
+  EXPECT_EQ(send({}), "1");
+  EXPECT_EQ(server.Connections(), 3U);
+}
+
 TEST(HttpPassThrough, ExtraBytesAfterAResponseCloseTheConnection)
 {
   ScriptedServer server({ Answer("first", "one") + Answer("first", "again"),
