--- a/modules/cr_relay/event/cr_RelayEvent.h
+++ b/modules/cr_relay/event/cr_RelayEvent.h
@@ -67,8 +67,6 @@
   DispatchResult m_result = DispatchResult::Broken;
   /** Condition in the server's answer; empty without an answer. */
   std::optional<ServerCondition> m_condition{};
-  /** The connection broke, and the server accepted no other one. */
-  bool m_isServerGone = false;
 };
 
 /** The backend server announced its state. AnswerServer follows. */
--- a/modules/cr_relay/flow/cr_RelayGateFlowSuspects.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlowSuspects.cpp
@@ -149,11 +149,7 @@
     m_brokenServer = m_calls.at(aEvent.m_call).m_server;
   }
   m_crashDetector.Break(aEvent.m_call, aNow);
-  if (aEvent.m_isServerGone) {
-    m_crashDetector.OnUnreachable();
-  } else {
-    RequestHealthCheck(aNow, aActions);
-  }
+  RequestHealthCheck(aNow, aActions);
   GateDecisions decisions;
   m_queue.Finish(aEvent.m_call, aNow, decisions);
   ApplyDecisions(decisions, aNow, aActions);
--- a/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
+++ b/modules/cr_relay/tests/cr_RelayGateFlowTest.cpp
@@ -31,6 +31,15 @@
     m_now += CrashDetector::kDecisionTime;
     Feed(RelayTimerDue{});
   }
+
+  /** The server's address accepts no connection. */
+  void RefuseHealthCheck()
+  {
+    EXPECT_EQ(TakeActions<CheckHealth>().size(), 1U);
+    HealthChecked refused;
+    refused.m_isUnreachable = true;
+    Feed(refused);
+  }
 };
 
 TEST(RelayGateFlow, DispatchesUpToTheUsableSlotsAndQueuesTheRest)
@@ -102,9 +111,9 @@
   const CallId second = node.PeerRequest(true);
   node.TakeActions<DispatchRequest>();
   node.Feed(DispatchEnded{ first, DispatchResult::Broken });
-  EXPECT_EQ(node.TakeActions<CheckHealth>().size(), 1U);
-  node.Feed(
-    DispatchEnded{ second, DispatchResult::Broken, std::nullopt, true });
+  node.Feed(DispatchEnded{ second, DispatchResult::Broken });
+  EXPECT_TRUE(node.TakeActions<AnswerPeer>().empty());
+  node.RefuseHealthCheck();
   const auto answers = node.TakeActions<AnswerPeer>();
   ASSERT_EQ(answers.size(), 2U);
   EXPECT_EQ(answers[0].m_report.m_outcome, Outcome::Unknown);
@@ -124,7 +133,8 @@
   node.AdoptNodes("orders", { "host-1", "host-2" });
   const CallId call = node.PeerRequest(true);
   node.Announce(10, 2, true);
-  node.Feed(DispatchEnded{ call, DispatchResult::Broken, std::nullopt, true });
+  node.Feed(DispatchEnded{ call, DispatchResult::Broken });
+  node.RefuseHealthCheck();
   const RelayReport report = node.TakeReport();
   EXPECT_EQ(report.m_outcome, Outcome::Unknown);
   EXPECT_FALSE(report.m_suspect);
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -76,7 +76,6 @@
   HttpSendOptions options;
   options.m_timeout = std::max<Duration>(aTimeout, Milliseconds(1));
   options.m_echoedHeader = m_adapter.m_headers.m_requestId;
-  options.m_resendIfStale = aIsIdempotent;
   if (aIsResent) {
     options.m_idleLimit = kNoReuse;
   } else if (!aIsIdempotent) {
@@ -229,14 +228,11 @@
                   "server",
                   pending != nullptr ? std::string_view(pending->m_id) : "");
   const std::optional<ServerCondition> condition = ReadCondition(aResult);
-  const auto* failure = std::get_if<HttpFailure>(&aResult);
-  const bool isServerGone =
-    failure != nullptr && failure->m_sent && failure->m_unreachable;
   const DispatchResult result = ClassifyResult(pending, std::move(aResult));
   if (pending != nullptr) {
     m_metrics.CountDispatch(result, IoThreads::Now() - pending->m_dispatchedAt);
   }
-  ProcessEvent(DispatchEnded{ aCall, result, condition, isServerGone });
+  ProcessEvent(DispatchEnded{ aCall, result, condition });
 }
 
 /* Returns nothing without a well-formed answer. */
--- a/modules/cr_relay_server/tests/cr_RelaySendingTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelaySendingTest.cpp
@@ -1,7 +1,9 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <future>
 #include <thread>
+#include <vector>
 
 #include "tests/cr_RelayFleet.h"
 #include "tests/cr_ScriptedBackend.h"
@@ -102,6 +104,108 @@
   EXPECT_EQ(status, kHttpOk);
 }
 
+/* Review 7, DRAIN: the server runs a request, announces that it leaves, and
+   resets the connection. The node sent the request to it again. */
+TEST(RelaySending, LostAnswerIsNotSentAgainToALeavingServer)
+{
+  constexpr Duration workTime = Milliseconds(400);
+  std::atomic<int> runs{ 0 };
+  RelayFleet fleet({ "status" });
+  const auto server =
+    fleet.ReplaceServer(0, [&](const ScriptedRequest& aRequest) {
+      ScriptedAnswer answer = MakeAnswer(SoundForm(aRequest));
+      if (TargetOf(aRequest) == "/status/lost") {
+        ++runs;
+        answer.m_bytes.clear();
+        answer.m_pause = workTime;
+        answer.m_ending = ConnectionEnding::Reset;
+      }
+      return answer;
+    });
+  fleet.WriteRoutes(1, { "status" });
+  FillRetryBudget(fleet, "/status/7");
+  ASSERT_EQ(fleet.Announce(0, 1), kHttpOk);
+  auto answer = std::async(std::launch::async,
+                           [&] { return fleet.Send(0, "/status/lost"); });
+  while (runs == 0) {
+    std::this_thread::sleep_for(Milliseconds(1));
+  }
+  ASSERT_EQ(fleet.Announce(0, 2, true), kHttpOk);
+  EXPECT_EQ(answer.get().m_status, kHttpBadGateway);
+  std::this_thread::sleep_for(workTime);
+  EXPECT_EQ(runs, 1);
+}
+
+/* Review 7: what was sent again had the time of the first sending left. */
+TEST(RelaySending, RequestWithALostAnswerIsSentElsewhereWithTheTimeThatIsLeft)
+{
+  constexpr Duration workTime = Milliseconds(400);
+  struct Record
+  {
+    int m_runs = 0;
+    std::vector<std::int64_t> m_remaining;
+  };
+  Guarded<Record> record;
+  const auto handler = [&](const ScriptedRequest& aRequest) {
+    ScriptedAnswer answer = MakeAnswer(SoundForm(aRequest));
+    if (TargetOf(aRequest) != "/status/lost") {
+      return answer;
+    }
+    const int run = record.WithLock([&](Record& aRecord) {
+      aRecord.m_remaining.push_back(
+        ParseNumber<std::int64_t>(FindField(aRequest, "Cr-Remaining-Ms"))
+          .value_or(0));
+      return ++aRecord.m_runs;
+    });
+    if (run == 1) {
+      answer.m_bytes.clear();
+      answer.m_pause = workTime;
+      answer.m_ending = ConnectionEnding::Reset;
+    }
+    return answer;
+  };
+  RelayFleet fleet({ "status", "status" });
+  const auto first = fleet.ReplaceServer(0, handler);
+  const auto second = fleet.ReplaceServer(1, handler);
+  fleet.WriteRoutes(1, { "status" });
+  FillRetryBudget(fleet, "/status/7");
+  EXPECT_EQ(fleet.Send(0, "/status/lost").m_status, kHttpOk);
+  const auto remaining =
+    record.WithLock([](Record& aRecord) { return aRecord.m_remaining; });
+  ASSERT_EQ(remaining.size(), 2U);
+  EXPECT_LE(remaining[1], remaining[0] - ToMilliseconds(workTime));
+}
+
+/* Review 10, BUDGET: repeats after lost answers on kept connections drew on no
+   budget. */
+TEST(RelaySending, RepeatsAfterLostAnswersDrawOnTheRetryBudget)
+{
+  constexpr int lost = 60;
+  std::atomic<int> requests{ 0 };
+  std::atomic<int> arrivals{ 0 };
+  const auto handler = [&](const ScriptedRequest& aRequest) {
+    ScriptedAnswer answer = MakeAnswer(SoundForm(aRequest));
+    arrivals += IsHealthCheck(aRequest) ? 0 : 1;
+    if (TargetOf(aRequest) == "/status/lost" && aRequest.m_earlier > 0) {
+      answer.m_bytes.clear();
+      answer.m_ending = ConnectionEnding::Reset;
+    }
+    return answer;
+  };
+  RelayFleet fleet({ "status", "status" });
+  const auto first = fleet.ReplaceServer(0, handler);
+  const auto second = fleet.ReplaceServer(1, handler);
+  fleet.WriteRoutes(1, { "status" });
+  ASSERT_EQ(fleet.SendUntil(0, "/status/7", kHttpOk), kHttpOk);
+  std::this_thread::sleep_for(Milliseconds(50));
+  arrivals = 0;
+  for (requests = 0; requests < 2 * lost; ++requests) {
+    fleet.Send(0, requests % 2 == 0 ? "/status/7" : "/status/lost");
+  }
+  const double ratio = fleet.At(0).m_settings.m_relay.m_retryRatio;
+  EXPECT_LE(arrivals - requests, ratio * (requests + 1));
+}
+
 }
 
 }
--- a/modules/cr_transport/http/cr_HttpClient.cpp
+++ b/modules/cr_transport/http/cr_HttpClient.cpp
@@ -153,7 +153,7 @@
     , m_connection(m_client->AcquireIdle(m_endpoint, IdleLimit()))
     , m_reused(m_connection != nullptr)
   {
-    if (!m_connection) {
+    if (!m_reused) {
       m_connection = std::make_unique<Connection>(m_client->m_threads);
     }
     m_executor = m_connection->m_stream.get_executor();
@@ -229,11 +229,9 @@
     m_connection->m_stream.expires_never();
     http::async_write(m_connection->m_stream,
                       m_message,
-                      [self = shared_from_this(), round = m_sendRound](
-                        beast::error_code aError, std::size_t /*aBytes*/) {
-                        if (round == self->m_sendRound) {
-                          self->OnWritten(aError);
-                        }
+                      [self = shared_from_this()](beast::error_code aError,
+                                                  std::size_t /*aBytes*/) {
+                        self->OnWritten(aError);
                       });
     ReadAnswer();
   }
@@ -296,8 +294,6 @@
     reader.Commit(aBytes);
     if (!aError) {
       OnProgress(reader.Read());
-    } else if (!reader.IsStarted() && MayResend()) {
-      Resend();
     } else if (aError == asio::error::eof) {
       OnEnd();
     } else {
@@ -388,25 +384,6 @@
            FindEchoedHeader(aResponse) != nullptr;
   }
 
-  bool MayResend() const
-  {
-    return m_reused && m_options.m_resendIfStale && m_droppedResponses == 0;
-  }
-
-  /* Repeats the request on a new connection after the server closed the reused
-     one. */
-  void Resend()
-  {
-    m_reused = false;
-    m_written = false;
-    m_connectionEnd = HttpConnectionEnd::Orderly;
-    ++m_sendRound;
-    m_connection->m_stream.close();
-    m_closedConnection = std::move(m_connection);
-    m_connection = std::make_unique<Connection>(m_client->m_threads);
-    Connect();
-  }
-
   void Fail(std::string aText, bool aTimedOut)
   {
     if (!m_done) {
@@ -442,11 +419,9 @@
   http::request<http::string_body> m_message;
   HttpCallback m_callback;
   ConnectionPointer m_connection;
-  /* A closed connection whose handlers may still be pending. */
-  ConnectionPointer m_closedConnection;
   asio::any_io_executor m_executor;
   std::optional<asio::steady_timer> m_deadline;
-  bool m_reused;
+  const bool m_reused;
   bool m_writing = false;
   bool m_written = false;
   /* The read has seen the end of the connection. */
@@ -458,7 +433,6 @@
   bool m_brokenAnswer = false;
   bool m_done = false;
   int m_droppedResponses = 0;
-  int m_sendRound = 0;
 };
 
 ConnectionPointer
--- a/modules/cr_transport/http/cr_HttpClient.h
+++ b/modules/cr_transport/http/cr_HttpClient.h
@@ -76,9 +76,6 @@
       For requests whose response has no identifier, if requests with one are
       sent to the same endpoint. */
   bool m_isOnOwnConnection = false;
-  /** Resend once on a new connection when a reused connection breaks before the
-      first byte of a response. Only for requests that are safe to repeat. */
-  bool m_resendIfStale = false;
 };
 
 /** Handle of an exchange in progress. Cancelling closes its connection; the
@@ -86,6 +83,7 @@
 using HttpExchange = Cancellation;
 
 /** Sends HTTP requests over pooled connections, one exchange at a time on each.
+    Sends each request once; only the caller decides whether to repeat it.
     Only a whole and well-formed response is passed on, as HttpResponseReader
     tells; any other one is a failure, after which the request may have run.
     A connection whose exchange failed or was cancelled is closed, never reused.
--- a/modules/cr_transport/tests/cr_BrokenAnswerTest.cpp
+++ b/modules/cr_transport/tests/cr_BrokenAnswerTest.cpp
@@ -112,10 +112,8 @@
     return MakeAnswer(aRequest.m_earlier == 0 ? sound : GetParam());
   });
   Client client;
-  HttpSendOptions options;
-  options.m_resendIfStale = true;
-  EXPECT_EQ(BodyOf(client.Send(server.Address(), options)), kFormBody);
-  EXPECT_TRUE(IsBroken(client.Send(server.Address(), options)));
+  EXPECT_EQ(BodyOf(client.Send(server.Address())), kFormBody);
+  EXPECT_TRUE(IsBroken(client.Send(server.Address())));
   EXPECT_EQ(requests, 2);
 }
 
@@ -151,11 +149,13 @@
       return answer;
     });
     Client client;
-    for (int request = 0; request < 2; ++request) {
-      // The first connection may be reset when the next request is sent.
-      HttpSendOptions options;
-      options.m_resendIfStale = true;
-      const HttpResult result = client.Send(server.Address(), options);
+    for (std::size_t request = 0; request < 2; ++request) {
+      // A connection that the server ends must have ended, so that it is not
+      // reused.
+      while (server.Answers() < request) {
+        std::this_thread::sleep_for(Milliseconds(1));
+      }
+      const HttpResult result = client.Send(server.Address());
       ASSERT_TRUE(std::holds_alternative<HttpResponse>(result))
         << std::get<HttpFailure>(result).m_text;
       const auto& response = std::get<HttpResponse>(result);
@@ -272,20 +272,9 @@
     },
     Settings());
   Client client;
-  for (const bool isResent : { false, true }) {
-    HttpSendOptions options;
-    options.m_resendIfStale = isResent;
-    EXPECT_EQ(BodyOf(client.Send(server.Address())), kFormBody);
-    const HttpResult result = client.Send(server.Address(), Upload(), options);
-    // Without a byte of an answer, the request is sent again and gets the first
-    // answer of a new connection.
-    if (isResent && GetParam().m_bytes.empty()) {
-      EXPECT_EQ(BodyOf(result), kFormBody);
-    } else {
-      Check(result);
-    }
-    client.m_client.CloseIdle(server.Address());
-  }
+  EXPECT_EQ(BodyOf(client.Send(server.Address())), kFormBody);
+  Check(client.Send(server.Address(), Upload()));
+  EXPECT_EQ(server.Connections(), 1U);
 }
 
 /* The client's thread learns of the answer and of the end of the connection at
--- a/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
+++ b/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
@@ -147,15 +147,45 @@
     SendWithId(client.m_client, reset.Address(), "x")));
 }
 
-TEST(HttpPassThrough, BrokenIdleConnectionIsReplacedWhenResendIsAllowed)
+TEST(HttpPassThrough, ConnectionThatEndedWhileIdleIsReplaced)
 {
   ScriptedServer server({ Answer("x", "one") });
   Client client;
-  HttpSendOptions resendOptions;
-  resendOptions.m_resendIfStale = true;
-  for (int round = 0; round < 10; ++round) {
+  for (std::size_t round = 0; round < 10; ++round) {
+    while (server.Answers() < round) {
+      std::this_thread::sleep_for(Milliseconds(1));
+    }
     EXPECT_TRUE(std::holds_alternative<HttpResponse>(
-      SendWithId(client.m_client, server.Address(), "x", resendOptions)));
+      SendWithId(client.m_client, server.Address(), "x")));
+  }
+}
+
+/* Review 7: the client sent the request again on a new connection, however long
+   the server had worked on it. */
+TEST(HttpPassThrough, RequestIsSentOnceWhenAKeptConnectionBreaks)
+{
+  for (const Duration workTime : { Milliseconds(0), Milliseconds(100) }) {
+    for (const ConnectionEnding ending :
+         { ConnectionEnding::Reset, ConnectionEnding::Finish }) {
+      std::atomic<int> requests{ 0 };
+      ScriptedServer server([&](const ScriptedRequest& aRequest) {
+        ++requests;
+        ScriptedAnswer answer{ Answer("first", "one") };
+        if (aRequest.m_earlier > 0) {
+          answer = { "", ending, workTime };
+        }
+        return answer;
+      });
+      Client client;
+      SendWithId(client.m_client, server.Address(), "first");
+      const auto result =
+        SendWithId(client.m_client, server.Address(), "second");
+      ASSERT_TRUE(std::holds_alternative<HttpFailure>(result));
+      EXPECT_TRUE(std::get<HttpFailure>(result).m_sent);
+      EXPECT_FALSE(std::get<HttpFailure>(result).m_unreachable);
+      EXPECT_EQ(requests, 2);
+      EXPECT_EQ(server.Connections(), 1U);
+    }
   }
 }
 
