A connection carries each identifier once (REFUSED)

Callers saw 503 for a request that ran. A server rejects a request; the same identifier comes again over the connection that carried the rejection; the server sends a copy of the rejection and runs the request. The copy has the identifier that is waited for, so the node took it for the answer.

Cause: the client matched answers by the identifier and relied on its users never to send one identifier over a connection twice.

A connection now knows the identifiers that it has carried, as hashes, and is passed over for a request with one of them. After 1,024 requests it is closed, which bounds the memory.

BrokenAnswer, SoundAnswer and LongUpload sent one identifier repeatedly over a kept connection, which no longer happens; their requests now have different ones, with the same checks. Requests to a scripted server have the number of their connection.

--- a/modules/cr_relay_server/tests/cr_RelayFleet.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.cpp
@@ -296,6 +296,16 @@
 RelayFleet::Send(std::size_t aHost,
                  const std::string& aTarget,
                  HttpHeaders aHeaders)
+{
+  return SendWithId(
+    aHost, aTarget, std::to_string(++m_requests), std::move(aHeaders));
+}
+
+HttpResponse
+RelayFleet::SendWithId(std::size_t aHost,
+                       const std::string& aTarget,
+                       const std::string& aId,
+                       HttpHeaders aHeaders)
 {
   HttpRequest request;
   request.m_method = "POST";
@@ -303,7 +313,7 @@
   request.m_body = "body";
   request.m_headers = std::move(aHeaders);
   request.m_headers.push_back({ "Host", "shop" });
-  request.m_headers.push_back({ "Cr-Request", std::to_string(++m_requests) });
+  request.m_headers.push_back({ "Cr-Request", aId });
   request.m_headers.push_back({ "Cr-Remaining-Ms", "3000" });
   return SendTo(aHost, kCustomerPort, std::move(request));
 }
--- a/modules/cr_relay_server/tests/cr_RelayFleet.h
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.h
@@ -72,6 +72,12 @@
                     const std::string& aTarget,
                     HttpHeaders aHeaders = {});
 
+  /** Sends a customer's request with the given identifier to a host's node. */
+  HttpResponse SendWithId(std::size_t aHost,
+                          const std::string& aTarget,
+                          const std::string& aId,
+                          HttpHeaders aHeaders = {});
+
   /** Sends requests until one gets the status, for about two seconds at most;
       returns the last status. */
   unsigned SendUntil(std::size_t aHost,
--- a/modules/cr_transport/http/cr_HttpClient.cpp
+++ b/modules/cr_transport/http/cr_HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "cr_transport/http/cr_HttpClient.h"
 
 #include <algorithm>
+#include <atomic>
 #include <future>
 #include <map>
 #include <mutex>
@@ -15,6 +16,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "cr_core/cr_core.h"
 #include "cr_transport/http/cr_HttpResponseReader.h"
 #include "cr_transport/io/cr_ConnectionExecutor.h"
 
@@ -58,6 +60,9 @@
 /* Max responses, informational ones or those to earlier requests, that are
    discarded before the connection is closed. */
 constexpr int kMaxDroppedResponses = 3;
+/* A connection that has carried as many requests is closed, which bounds the
+   memory for their identifiers. */
+constexpr std::size_t kMaxRequestsPerConnection = 1024;
 
 /* Sets the options of a new connection. The kernel breaks it when the other
    host stops acknowledging. */
@@ -87,9 +92,18 @@
   {
   }
 
+  bool HasCarried(std::uint64_t aIdentity) const
+  {
+    return std::find(m_carried.begin(), m_carried.end(), aIdentity) !=
+           m_carried.end();
+  }
+
   beast::tcp_stream m_stream;
   HttpResponseReader m_reader;
   Instant m_idleSince;
+  /* Hashes of the identifiers of the requests sent so far. Two requests with
+     the same hash only cost a connection. */
+  std::vector<std::uint64_t> m_carried;
 };
 
 using ConnectionPointer = std::unique_ptr<Connection>;
@@ -121,7 +135,9 @@
   {
   }
 
-  ConnectionPointer AcquireIdle(const Endpoint& aEndpoint, Duration aIdleLimit);
+  ConnectionPointer AcquireIdle(const Endpoint& aEndpoint,
+                                Duration aIdleLimit,
+                                std::uint64_t aIdentity);
   void ReleaseIdle(const Endpoint& aEndpoint, ConnectionPointer aConnection);
   void CloseIdle(const Endpoint& aEndpoint);
   void Close();
@@ -129,6 +145,7 @@
   IoThreads& m_threads;
   const HttpClientSettings m_settings;
   const std::shared_ptr<HttpBodyBudget> m_bodyBudget;
+  std::atomic<std::uint64_t> m_lastUnidentified{ 0 };
 
 private:
   std::mutex m_mutex;
@@ -150,7 +167,8 @@
     , m_options(std::move(aOptions))
     , m_message(ToMessage(std::move(aRequest), m_endpoint))
     , m_callback(std::move(aCallback))
-    , m_connection(m_client->AcquireIdle(m_endpoint, IdleLimit()))
+    , m_identity(Identity())
+    , m_connection(m_client->AcquireIdle(m_endpoint, IdleLimit(), m_identity))
     , m_reused(m_connection != nullptr)
   {
     if (!m_reused) {
@@ -181,6 +199,14 @@
   }
 
 private:
+  /* Requests without an identifier differ from all others. */
+  std::uint64_t Identity() const
+  {
+    return m_options.m_echoedHeader.empty()
+             ? ++m_client->m_lastUnidentified
+             : Hash(std::string_view(m_message[m_options.m_echoedHeader]));
+  }
+
   Duration IdleLimit() const
   {
     return m_options.m_isOnOwnConnection
@@ -226,6 +252,7 @@
     }
     m_sent = true;
     m_writing = true;
+    m_connection->m_carried.push_back(m_identity);
     m_connection->m_stream.expires_never();
     http::async_write(m_connection->m_stream,
                       m_message,
@@ -338,7 +365,8 @@
     m_deadline->cancel();
     const bool reusable =
       reader.KeepsConnection() && !reader.HasUnreadBytes() && m_written &&
-      !m_options.m_isOnOwnConnection && IsIdentified(reader.Response());
+      !m_options.m_isOnOwnConnection && IsIdentified(reader.Response()) &&
+      m_connection->m_carried.size() < kMaxRequestsPerConnection;
     HttpResponse response = reader.Take();
     if (reusable) {
       m_client->ReleaseIdle(m_endpoint, std::move(m_connection));
@@ -418,6 +446,7 @@
   HttpSendOptions m_options;
   http::request<http::string_body> m_message;
   HttpCallback m_callback;
+  const std::uint64_t m_identity;
   ConnectionPointer m_connection;
   asio::any_io_executor m_executor;
   std::optional<asio::steady_timer> m_deadline;
@@ -435,24 +464,32 @@
   int m_droppedResponses = 0;
 };
 
+/* Prefers the connection that idled for the shortest time. A late copy of the
+   response to an earlier sending of the same request could not be told from the
+   response that is due, so a connection carries each identifier once. */
 ConnectionPointer
 HttpClient::Implementation::AcquireIdle(const Endpoint& aEndpoint,
-                                        Duration aIdleLimit)
+                                        Duration aIdleLimit,
+                                        std::uint64_t aIdentity)
 {
   const Duration limit = std::min(aIdleLimit, m_settings.m_idleLimit);
   const std::lock_guard lock(m_mutex);
   auto& idleConnections = m_idle[aEndpoint];
   const Instant now = IoThreads::Now();
-  while (!idleConnections.empty()) {
-    ConnectionPointer connection = std::move(idleConnections.back());
-    idleConnections.pop_back();
-    const Duration idle = now - connection->m_idleSince;
+  for (std::size_t left = idleConnections.size(); left > 0; --left) {
+    const auto place =
+      idleConnections.begin() + static_cast<std::ptrdiff_t>(left) - 1;
+    const Duration idle = now - (*place)->m_idleSince;
     if (idle >= limit && idle < m_settings.m_idleLimit) {
       // The remaining ones idled even longer. Keep them all for requests with a
       // longer idle limit.
-      idleConnections.push_back(std::move(connection));
       return nullptr;
     }
+    if (idle < limit && (*place)->HasCarried(aIdentity)) {
+      continue;
+    }
+    ConnectionPointer connection = std::move(*place);
+    idleConnections.erase(place);
     if (idle < limit && !IsStale(*connection)) {
       return connection;
     }
--- a/modules/cr_transport/http/cr_HttpClient.h
+++ b/modules/cr_transport/http/cr_HttpClient.h
@@ -66,10 +66,9 @@
   std::optional<Duration> m_idleLimit;
   /** Header that a response echoes from the request; empty for none. A complete
       response with another value belongs to another request: it is discarded,
-      and the next response on the connection is read. The value identifies the
-      response only on a connection that has carried no earlier request with the
-      same value: a request that is sent to the endpoint once more needs a new
-      connection (m_idleLimit). A connection is not reused after a response
+      and the next response on the connection is read. A connection carries
+      each value once, as the value could not tell a late copy of the first
+      response from the second one. A connection is not reused after a response
       without the header, as a late copy of it could not be identified. */
   std::string m_echoedHeader;
   /** Sends the request on a new connection and closes it after the response.
--- a/modules/cr_transport/tests/cr_BrokenAnswerTest.cpp
+++ b/modules/cr_transport/tests/cr_BrokenAnswerTest.cpp
@@ -13,22 +13,36 @@
 constexpr std::string_view kFields = "Echo: x\r\n";
 constexpr Duration kTimeout = Seconds(10);
 
+/* Returns the answer with the identifier of the request, which has one letter,
+   in place of that of the forms. */
+ScriptedAnswer
+Identified(ScriptedAnswer aAnswer, const ScriptedRequest& aRequest)
+{
+  const std::size_t field = aAnswer.m_bytes.find(kFields);
+  if (field != std::string::npos) {
+    aAnswer.m_bytes.at(aAnswer.m_bytes.find('x', field)) =
+      FindField(aRequest, "Echo").front();
+  }
+  return aAnswer;
+}
+
 struct Client
 {
-  HttpResult Send(const Endpoint& aEndpoint, HttpSendOptions aOptions = {})
+  HttpResult Send(const Endpoint& aEndpoint, char aId = 'x')
   {
-    return Send(aEndpoint, { "GET", "/", {}, "" }, std::move(aOptions));
+    return Send(aEndpoint, { "GET", "/", {}, "" }, aId);
   }
 
   HttpResult Send(const Endpoint& aEndpoint,
                   HttpRequest aRequest,
-                  HttpSendOptions aOptions = {})
+                  char aId = 'x')
   {
-    aRequest.m_headers = { { "Echo", "x" } };
-    aOptions.m_echoedHeader = "Echo";
-    aOptions.m_timeout = kTimeout;
+    aRequest.m_headers = { { "Echo", std::string(1, aId) } };
+    HttpSendOptions options;
+    options.m_echoedHeader = "Echo";
+    options.m_timeout = kTimeout;
     auto promise = std::make_shared<std::promise<HttpResult>>();
-    m_client.Send(aEndpoint, aRequest, aOptions, [promise](HttpResult aResult) {
+    m_client.Send(aEndpoint, aRequest, options, [promise](HttpResult aResult) {
       promise->set_value(std::move(aResult));
     });
     return promise->get_future().get();
@@ -93,13 +107,14 @@
 {
   const AnswerForm sound = SoundAnswers(kFields).front();
   ScriptedServer server([&](const ScriptedRequest& aRequest) {
-    return MakeAnswer(aRequest.m_earlier == 0 ? sound : GetParam());
+    return Identified(MakeAnswer(aRequest.m_earlier == 0 ? sound : GetParam()),
+                      aRequest);
   });
   Client client;
-  EXPECT_EQ(BodyOf(client.Send(server.Address())), kFormBody);
-  EXPECT_TRUE(IsBroken(client.Send(server.Address())));
+  EXPECT_EQ(BodyOf(client.Send(server.Address(), 'a')), kFormBody);
+  EXPECT_TRUE(IsBroken(client.Send(server.Address(), 'b')));
   EXPECT_EQ(server.Connections(), 1U);
-  EXPECT_EQ(BodyOf(client.Send(server.Address())), kFormBody);
+  EXPECT_EQ(BodyOf(client.Send(server.Address(), 'c')), kFormBody);
   EXPECT_EQ(server.Connections(), 2U);
 }
 
@@ -109,11 +124,12 @@
   std::atomic<int> requests{ 0 };
   ScriptedServer server([&](const ScriptedRequest& aRequest) {
     ++requests;
-    return MakeAnswer(aRequest.m_earlier == 0 ? sound : GetParam());
+    return Identified(MakeAnswer(aRequest.m_earlier == 0 ? sound : GetParam()),
+                      aRequest);
   });
   Client client;
-  EXPECT_EQ(BodyOf(client.Send(server.Address())), kFormBody);
-  EXPECT_TRUE(IsBroken(client.Send(server.Address())));
+  EXPECT_EQ(BodyOf(client.Send(server.Address(), 'a')), kFormBody);
+  EXPECT_TRUE(IsBroken(client.Send(server.Address(), 'b')));
   EXPECT_EQ(requests, 2);
 }
 
@@ -141,8 +157,8 @@
 TEST_P(SoundAnswer, IsPassedOnWhole)
 {
   for (const std::size_t pieceBytes : { 0, 1 }) {
-    ScriptedServer server([&](const ScriptedRequest& /*aRequest*/) {
-      ScriptedAnswer answer = MakeAnswer(GetParam());
+    ScriptedServer server([&](const ScriptedRequest& aRequest) {
+      ScriptedAnswer answer = Identified(MakeAnswer(GetParam()), aRequest);
       answer.m_pieceBytes = pieceBytes;
       // A reset discards what the kernel has not sent yet.
       answer.m_pause = pieceBytes == 0 ? Duration::zero() : Milliseconds(50);
@@ -155,12 +171,13 @@
       while (server.Answers() < request) {
         std::this_thread::sleep_for(Milliseconds(1));
       }
-      const HttpResult result = client.Send(server.Address());
+      const char id = request == 0 ? 'a' : 'b';
+      const HttpResult result = client.Send(server.Address(), id);
       ASSERT_TRUE(std::holds_alternative<HttpResponse>(result))
         << std::get<HttpFailure>(result).m_text;
       const auto& response = std::get<HttpResponse>(result);
       EXPECT_EQ(response.m_body, kFormBody);
-      EXPECT_EQ(FindHeader(response.m_headers, "Echo"), "x");
+      EXPECT_EQ(FindHeader(response.m_headers, "Echo"), std::string(1, id));
       const std::string status = std::to_string(response.m_status);
       EXPECT_TRUE(status == "200" || GetParam().m_name == "Status" + status);
     }
@@ -265,15 +282,15 @@
   const AnswerForm sound = SoundAnswers(kFields).front();
   ScriptedServer server(
     [&](const ScriptedRequest& aRequest) {
-      ScriptedAnswer answer =
-        aRequest.m_earlier == 0 ? MakeAnswer(sound) : Answer();
+      ScriptedAnswer answer = Identified(
+        aRequest.m_earlier == 0 ? MakeAnswer(sound) : Answer(), aRequest);
       answer.m_pause = Milliseconds(50);
       return answer;
     },
     Settings());
   Client client;
-  EXPECT_EQ(BodyOf(client.Send(server.Address())), kFormBody);
-  Check(client.Send(server.Address(), Upload()));
+  EXPECT_EQ(BodyOf(client.Send(server.Address(), 'a')), kFormBody);
+  Check(client.Send(server.Address(), Upload(), 'b'));
   EXPECT_EQ(server.Connections(), 1U);
 }
 
@@ -361,15 +378,15 @@
 
 TEST(BrokenAnswers, EmptyChunkedBodyMayComeInPieces)
 {
-  ScriptedServer server([](const ScriptedRequest& /*aRequest*/) {
+  ScriptedServer server([](const ScriptedRequest& aRequest) {
     ScriptedAnswer answer;
     answer.m_bytes = kOk + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
     answer.m_pieceBytes = 1;
-    return answer;
+    return Identified(answer, aRequest);
   });
   Client client;
-  for (int round = 0; round < 20; ++round) {
-    EXPECT_EQ(BodyOf(client.Send(server.Address())), "");
+  for (char id = 'a'; id < 'a' + 20; ++id) {
+    EXPECT_EQ(BodyOf(client.Send(server.Address(), id)), "");
   }
   EXPECT_EQ(server.Connections(), 1U);
 }
@@ -377,13 +394,14 @@
 TEST(BrokenAnswers, AnswersWithoutABodyEndWithTheirHeader)
 {
   for (const char* status : { "204", "304" }) {
-    ScriptedServer server([&](const ScriptedRequest& /*aRequest*/) {
-      return ScriptedAnswer{ std::string("HTTP/1.1 ") + status +
-                             " X\r\nEcho: x\r\n\r\n" };
+    ScriptedServer server([&](const ScriptedRequest& aRequest) {
+      return Identified(
+        { std::string("HTTP/1.1 ") + status + " X\r\nEcho: x\r\n\r\n" },
+        aRequest);
     });
     Client client;
-    EXPECT_EQ(BodyOf(client.Send(server.Address())), "");
-    EXPECT_EQ(BodyOf(client.Send(server.Address())), "");
+    EXPECT_EQ(BodyOf(client.Send(server.Address(), 'a')), "");
+    EXPECT_EQ(BodyOf(client.Send(server.Address(), 'b')), "");
     EXPECT_EQ(server.Connections(), 1U);
   }
   ScriptedServer server([&](const ScriptedRequest& /*aRequest*/) {
--- a/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
+++ b/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
@@ -90,6 +90,53 @@
   EXPECT_EQ(std::get<HttpResponse>(second).m_body, "right");
 }
 
+/* Issue 58, REFUSED: a copy of a rejection has the identifier of the request
+   that was rejected, also when that request is under way again. */
+TEST(HttpPassThrough, ConnectionCarriesEachIdOnce)
+{
+  const std::string rejection =
+    "HTTP/1.1 503 Busy\r\nEcho: again\r\nContent-Length: 0\r\n\r\n";
+  std::atomic<int> sendings{ 0 };
+  ScriptedServer server([&](const ScriptedRequest& aRequest) {
+    const std::string id(FindField(aRequest, "Echo"));
+    if (id != "again") {
+      return ScriptedAnswer{ Answer(id, "other") };
+    }
+    const bool isFirst = ++sendings == 1;
+    return ScriptedAnswer{ isFirst ? rejection
+                                   : (aRequest.m_earlier > 0 ? rejection : "") +
+                                       Answer(id, "right") };
+  });
+  Client client;
+  const auto send = [&](const std::string& aId) {
+    const auto result = SendWithId(client.m_client, server.Address(), aId);
+    const auto* response = std::get_if<HttpResponse>(&result);
+    return response != nullptr ? *response : HttpResponse{ 0, {}, "none" };
+  };
+  EXPECT_EQ(send("again").m_status, kHttpUnavailable);
+  EXPECT_EQ(send("first").m_body, "other");
+  EXPECT_EQ(send("again").m_body, "right");
+  // The other connection is kept for requests that it has not carried.
+  EXPECT_EQ(send("second").m_body, "other");
+  EXPECT_EQ(server.Connections(), 2U);
+}
+
+TEST(HttpPassThrough, ConnectionThatCarriedManyRequestsIsReplaced)
+{
+  constexpr int requests = 1100;
+  ScriptedServer server([](const ScriptedRequest& aRequest) {
+    return ScriptedAnswer{ Answer(std::string(FindField(aRequest, "Echo")),
+                                  "right") };
+  });
+  Client client;
+  for (int number = 0; number < requests; ++number) {
+    const auto result =
+      SendWithId(client.m_client, server.Address(), std::to_string(number));
+    ASSERT_TRUE(std::holds_alternative<HttpResponse>(result));
+  }
+  EXPECT_EQ(server.Connections(), 2U);
+}
+
 TEST(HttpPassThrough, RequestOnItsOwnConnectionSharesItWithNoOther)
 {
   ScriptedServer server([](const ScriptedRequest& aRequest) {
--- a/stand_ins/scripted_stand_in/server/cr_ScriptedServer.cpp
+++ b/stand_ins/scripted_stand_in/server/cr_ScriptedServer.cpp
@@ -114,13 +114,14 @@
       if (error || m_isStopping) {
         return;
       }
-      ++m_connections;
+      const std::size_t number = ++m_connections;
       connection->m_socket.set_option(tcp::no_delay(true), error);
       JoinEnded();
-      connection->m_thread = std::thread([this, served = connection.get()] {
-        Serve(served->m_socket);
-        served->m_isEnded = true;
-      });
+      connection->m_thread =
+        std::thread([this, number, served = connection.get()] {
+          Serve(served->m_socket, number);
+          served->m_isEnded = true;
+        });
       m_open.push_back(std::move(connection));
     }
   }
@@ -137,7 +138,7 @@
     });
   }
 
-  void Serve(tcp::socket& aSocket)
+  void Serve(tcp::socket& aSocket, std::size_t aConnection)
   {
     std::string received;
     AsioErrorCode error;
@@ -146,6 +147,7 @@
       Discard(aSocket, received, unread, error);
       ScriptedRequest request;
       request.m_earlier = earlier;
+      request.m_connection = aConnection;
       const std::size_t size = asio::read_until(
         aSocket, asio::dynamic_buffer(received), "\r\n\r\n", error);
       if (error) {
--- a/stand_ins/scripted_stand_in/server/cr_ScriptedServer.h
+++ b/stand_ins/scripted_stand_in/server/cr_ScriptedServer.h
@@ -33,6 +33,8 @@
   std::string m_body;
   /** Number of earlier requests on the connection. */
   std::size_t m_earlier = 0;
+  /** Number of the connection; the first one that the server accepts is 1. */
+  std::size_t m_connection = 0;
 };
 
 /** Returns the value of the field with exactly the name in a request's head;
