An answer without an identifier is none on a reused connection

An extra one, on a connection that had carried other requests, ended whichever request was next; one that says "not run" made the node promise so for a request that runs.

Such an answer counts now only as the first on its connection, where it can belong to no other request; on a reused one the exchange fails, as one that may have run. A gate adds the identifier to a server's error that lacks it, as entries reuse their connections to gates.

--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -375,6 +375,9 @@
     response = std::move(*pending->m_answer);
   } else {
     response.m_status = kHttpUnavailable;
+  }
+  // A backend server's error may lack it.
+  if (FindHeader(response.m_headers, m_adapter.m_headers.m_requestId).empty()) {
     response.m_headers.push_back(
       { m_adapter.m_headers.m_requestId, pending->m_id });
   }
--- a/modules/cr_transport/http/cr_HttpClient.cpp
+++ b/modules/cr_transport/http/cr_HttpClient.cpp
@@ -352,22 +352,24 @@
   void OnResponseRead()
   {
     HttpResponseReader& reader = m_connection->m_reader;
-    if (!IsOwnResponse(reader.Response())) {
-      if (reader.KeepsConnection() &&
-          ++m_droppedResponses <= kMaxDroppedResponses) {
-        ReadAnswer();
-      } else {
-        Fail("an answer to another request", false);
-      }
+    const Attribution attribution = AttributionOf(reader.Response());
+    if (attribution == Attribution::OtherRequest) {
+      DropResponse();
+      return;
+    }
+    const bool isIdentified = attribution == Attribution::OwnRequest;
+    if (!isIdentified && m_connection->m_carried.size() > 1) {
+      FailReading("an answer without an identifier on a reused connection");
       return;
     }
     m_done = true;
     m_deadline->cancel();
     const bool reusable =
       reader.KeepsConnection() && !reader.HasUnreadBytes() && m_written &&
-      !m_options.m_isOnOwnConnection && IsIdentified(reader.Response()) &&
+      !m_options.m_isOnOwnConnection && isIdentified &&
       m_connection->m_carried.size() < kMaxRequestsPerConnection;
     HttpResponse response = reader.Take();
+    response.m_earlier = m_connection->m_carried.size() - 1;
     if (reusable) {
       m_client->ReleaseIdle(m_endpoint, std::move(m_connection));
     } else {
@@ -376,40 +378,49 @@
     Finish(std::move(response));
   }
 
-  bool IsOwnResponse(const HttpResponse& aResponse) const
+  void DropResponse()
+  {
+    if (m_connection->m_reader.KeepsConnection() &&
+        ++m_droppedResponses <= kMaxDroppedResponses) {
+      ReadAnswer();
+    } else {
+      Fail("an answer to another request", false);
+    }
+  }
+
+  /* Which request a response belongs to. */
+  enum class Attribution
+  {
+    OwnRequest,
+    OtherRequest,
+    /* It has no identifier: to one of the requests of the connection. */
+    AnyRequest
+  };
+
+  Attribution AttributionOf(const HttpResponse& aResponse) const
   {
     // The final response follows an informational one.
     if (aResponse.m_status < kFirstFinalStatus) {
-      return false;
+      return Attribution::OtherRequest;
     }
     if (m_options.m_echoedHeader.empty()) {
-      return true;
-    }
-    const HttpHeader* echoed = FindEchoedHeader(aResponse);
-    if (echoed == nullptr) {
-      return aResponse.m_status >= kFirstRedirectionStatus;
+      return Attribution::OwnRequest;
     }
-    return echoed->m_value == m_message[m_options.m_echoedHeader];
-  }
-
-  /* Returns null if the response doesn't have the header. */
-  const HttpHeader* FindEchoedHeader(const HttpResponse& aResponse) const
-  {
     const auto echoed = std::find_if(
       aResponse.m_headers.begin(),
       aResponse.m_headers.end(),
       [&](const HttpHeader& aHeader) {
         return IsSameHeader(aHeader.m_name, m_options.m_echoedHeader);
       });
-    return echoed != aResponse.m_headers.end() ? &*echoed : nullptr;
-  }
-
-  /* Returns whether a late copy of the response can be told from the responses
-     to later requests, as far as they have identifiers. */
-  bool IsIdentified(const HttpResponse& aResponse) const
-  {
-    return m_options.m_echoedHeader.empty() ||
-           FindEchoedHeader(aResponse) != nullptr;
+    if (echoed != aResponse.m_headers.end()) {
+      return echoed->m_value == m_message[m_options.m_echoedHeader]
+               ? Attribution::OwnRequest
+               : Attribution::OtherRequest;
+    }
+    return aResponse.m_status >= kFirstRedirectionStatus ||
+               m_options.m_isEchoOptional
+             ? Attribution::AnyRequest
+             : Attribution::OtherRequest;
   }
 
   void Fail(std::string aText, bool aTimedOut)
--- a/modules/cr_transport/http/cr_HttpClient.h
+++ b/modules/cr_transport/http/cr_HttpClient.h
@@ -69,8 +69,12 @@
       and the next response on the connection is read. A connection carries
       each value once, as the value could not tell a late copy of the first
       response from the second one. A connection is not reused after a response
-      without the header, as a late copy of it could not be identified. */
+      without the header, as a late copy of it could not be identified; on a
+      connection that was reused, such a response is a failure. */
   std::string m_echoedHeader;
+  /** Accepts a success without the echoed header; otherwise only responses that
+      tell no success may lack it. */
+  bool m_isEchoOptional = false;
   /** Sends the request on a new connection and closes it after the response.
       For requests whose response has no identifier, if requests with one are
       sent to the same endpoint. */
--- a/modules/cr_transport/http/cr_HttpMessage.h
+++ b/modules/cr_transport/http/cr_HttpMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <span>
 #include <string>
@@ -51,6 +52,9 @@
   std::string m_body;
   /** Closes the connection after this response. */
   bool m_close = false;
+  /** Number of requests that the connection had carried before; set by
+      HttpClient. */
+  std::size_t m_earlier = 0;
 };
 
 /** Returns the value of the first header with the name, ignoring case; empty
--- a/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
+++ b/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
@@ -137,6 +137,25 @@
   EXPECT_EQ(server.Connections(), 2U);
 }
 
+/* Issue 58: an extra answer without an identifier came where the answer to
+   another request was due, and was taken for it. */
+TEST(HttpPassThrough, ErrorWithoutTheIdIsNoAnswerOnAReusedConnection)
+{
+  const std::string refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+  ScriptedServer server([&](const ScriptedRequest& aRequest) {
+    const std::string id(FindField(aRequest, "Echo"));
+    return ScriptedAnswer{ (id == "second" ? refusal : "") +
+                           Answer(id, "right") };
+  });
+  Client client;
+  ASSERT_TRUE(std::holds_alternative<HttpResponse>(
+    SendWithId(client.m_client, server.Address(), "first")));
+  const auto second = SendWithId(client.m_client, server.Address(), "second");
+  ASSERT_TRUE(std::holds_alternative<HttpFailure>(second));
+  EXPECT_TRUE(std::get<HttpFailure>(second).m_sent);
+  EXPECT_TRUE(std::get<HttpFailure>(second).m_brokenAnswer);
+}
+
 TEST(HttpPassThrough, RequestOnItsOwnConnectionSharesItWithNoOther)
 {
   ScriptedServer server([](const ScriptedRequest& aRequest) {
