Log how many requests a connection had carried before a bad answer

The logs could not tell a rejection from a late copy of an earlier one: no line said whether the answer came over a connection that had carried other requests. `server-ended` now has `earlier`, their number.

--- a/modules/cr_relay/event/cr_RelayEvent.h
+++ b/modules/cr_relay/event/cr_RelayEvent.h
@@ -67,6 +67,8 @@
   DispatchResult m_result = DispatchResult::Broken;
   /** Condition in the server's answer; empty without an answer. */
   std::optional<ServerCondition> m_condition{};
+  /** Number of requests that the connection of an answer had carried before. */
+  std::size_t m_earlier = 0;
 };
 
 /** The backend server announced its state. AnswerServer follows. */
--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -126,12 +126,14 @@
       "server-ended",
       aEvent.m_call,
       fmt::format("\"verdict\":\"{}\",\"server\":\"{}\","
-                  "\"ran_ms\":{},\"running\":{},\"sender\":{},"
+                  "\"ran_ms\":{},\"running\":{},\"earlier\":{},"
+                  "\"sender\":{},"
                   "\"content\":\"{}\"",
                   ToText(aEvent.m_result),
                   Server().m_id,
                   ToMilliseconds(aNow - call.m_dispatched),
                   m_queue.Running(),
+                  aEvent.m_earlier,
                   !call.m_isCallerDisconnected,
                   ToText(call.m_header.m_content.value_or(RequestKey()))) });
   }
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -228,11 +228,13 @@
                   "server",
                   pending != nullptr ? std::string_view(pending->m_id) : "");
   const std::optional<ServerCondition> condition = ReadCondition(aResult);
+  const auto* response = std::get_if<HttpResponse>(&aResult);
+  const std::size_t earlier = response != nullptr ? response->m_earlier : 0;
   const DispatchResult result = ClassifyResult(pending, std::move(aResult));
   if (pending != nullptr) {
     m_metrics.CountDispatch(result, IoThreads::Now() - pending->m_dispatchedAt);
   }
-  ProcessEvent(DispatchEnded{ aCall, result, condition });
+  ProcessEvent(DispatchEnded{ aCall, result, condition, earlier });
 }
 
 /* Returns nothing without a well-formed answer. */
