corianderrack-node tells an answer from a late one by the request's identifier

With a server that sends each answer a second time, 10 of 20 callers got the answer of the request before.

Both hops of the node now use the identifier of the request, which its servers get and nodes echo. A backend server should repeat it; after an answer without it, the connection is closed, so that a late copy of it meets no other request. The stand-in of a server repeats it.

--- a/modules/cr_process/server/cr_NodeShellActions.cpp
+++ b/modules/cr_process/server/cr_NodeShellActions.cpp
@@ -15,6 +15,16 @@
 constexpr Duration kWithdrawTimeout = Milliseconds(500);
 constexpr Duration kGossipTimeout = Milliseconds(500);
 
+/* Options of a call, whose answer bears the identifier of its request. */
+HttpSendOptions
+CallOptions(const CallHeader& aHeader)
+{
+  HttpSendOptions options;
+  options.m_timeout = aHeader.m_remaining;
+  options.m_echoedHeader = kRequestHeader;
+  return options;
+}
+
 }
 
 void
@@ -26,7 +36,7 @@
     return m_client.Send(
       aAction.m_peer,
       WriteForwardCall(aAction),
-      aAction.m_header.m_remaining,
+      CallOptions(aAction.m_header),
       [weak = weak_from_this(), attempt, request](HttpResult aResult) {
         const auto self = weak.lock();
         if (!self) {
@@ -90,11 +100,14 @@
 NodeShell::Execute(const DispatchCall& aAction)
 {
   const CallId call = aAction.m_call;
+  HttpSendOptions options = CallOptions(aAction.m_header);
+  // Backend servers need not repeat the identifier.
+  options.m_isEchoOptional = true;
   TrackExchange(m_dispatches, call, [&] {
     return m_client.Send(
       aAction.m_server,
       WriteDispatchCall(aAction),
-      aAction.m_header.m_remaining,
+      options,
       [weak = weak_from_this(), call](HttpResult aResult) {
         const auto self = weak.lock();
         if (!self) {
--- a/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
+++ b/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
@@ -156,6 +156,25 @@
   EXPECT_TRUE(std::get<HttpFailure>(second).m_brokenAnswer);
 }
 
+/* Backend servers of corianderrack-node need not repeat the identifier. */
+TEST(HttpPassThrough, SuccessWithoutAnOptionalIdIsTheLastOnItsConnection)
+{
+  const std::string plain = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nplain";
+  ScriptedServer server([&](const ScriptedRequest& aRequest) {
+    return ScriptedAnswer{ (aRequest.m_earlier > 0 ? plain : "") + plain };
+  });
+  Client client;
+  HttpSendOptions options;
+  options.m_isEchoOptional = true;
+  for (const char* id : { "first", "second", "third" }) {
+    const auto result =
+      SendWithId(client.m_client, server.Address(), id, options);
+    ASSERT_TRUE(std::holds_alternative<HttpResponse>(result));
+    EXPECT_EQ(std::get<HttpResponse>(result).m_body, "plain");
+  }
+  EXPECT_EQ(server.Connections(), 3U);
+}
+
 TEST(HttpPassThrough, RequestOnItsOwnConnectionSharesItWithNoOther)
 {
   ScriptedServer server([](const ScriptedRequest& aRequest) {
--- a/stand_ins/server_stand_in/server/cr_BackendServer.cpp
+++ b/stand_ins/server_stand_in/server/cr_BackendServer.cpp
@@ -343,6 +343,8 @@
                                       HttpResponse aResponse)
 {
   if (!m_crashed) {
+    aResponse.m_headers.push_back(
+      { std::string(kRequestHeader), HeaderOf(*aJob, kRequestHeader) });
     aJob->m_responder.Send(std::move(aResponse));
   }
   const JobPointer next = m_state.WithLock([&](State& aState) -> JobPointer {
