The mark of a repeated request is not needed any more

Connections know the identifiers that they have carried, so RelayHeader::m_isResent and DispatchRequest::m_isResent tell the client nothing new. They are removed, with `d` in the relay header; a node of the version before, which reads the mark, treats a request without it as new.

What it guarded is tested without it: CopiedRejection.*, CopiedRefusalOfAGate.* and RelaySending.LateCopyOfARejection* (both hops), HttpPassThrough.ConnectionCarriesEachIdOnce.

--- a/modules/cr_relay/event/cr_RelayAction.h
+++ b/modules/cr_relay/event/cr_RelayAction.h
@@ -34,9 +34,6 @@
   std::string m_server;
   Duration m_remaining = Duration::zero();
   bool m_isIdempotent = false;
-  /** The server may have received the request before, with the same
-      identifier. */
-  bool m_isResent = false;
 };
 
 /** Closes the connection of a dispatched request. */
--- a/modules/cr_relay/event/cr_RelayTypes.h
+++ b/modules/cr_relay/event/cr_RelayTypes.h
@@ -52,8 +52,6 @@
   /** The request is a call that a backend server makes for one that it runs. */
   bool m_isChildCall = false;
   bool m_isIdempotent = false;
-  /** The sending node has forwarded the request to this gate before. */
-  bool m_isResent = false;
   /** Generation of the configuration that is active at the sending node. */
   Generation m_generation = 0;
   /** Empty if the sending node does not report it. */
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
@@ -310,12 +310,9 @@
     FinishUnanswered(aCall, aNow, aActions);
     return;
   }
-  RelayHeader header;
-  header.m_isResent = std::find(aCall.m_triedHosts.begin(),
-                                aCall.m_triedHosts.end(),
-                                target->m_host) != aCall.m_triedHosts.end();
   aCall.m_triedHosts.push_back(target->m_host);
   aCall.m_sent = aNow;
+  RelayHeader header;
   header.m_service = aCall.m_service;
   header.m_route = aCall.m_route->m_name;
   header.m_remaining = aCall.m_deadline - aNow;
--- a/modules/cr_relay/flow/cr_RelayGateFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayGateFlow.cpp
@@ -433,8 +433,7 @@
   aActions.emplace_back(DispatchRequest{ aCall,
                                          Server().m_id,
                                          call.m_deadline - aNow,
-                                         call.m_header.m_isIdempotent,
-                                         call.m_header.m_isResent });
+                                         call.m_header.m_isIdempotent });
 }
 
 void
--- a/modules/cr_relay_server/protocol/cr_RelayCodec.cpp
+++ b/modules/cr_relay_server/protocol/cr_RelayCodec.cpp
@@ -66,13 +66,6 @@
     m_isWellFormed &= aFlag || aValue == "0";
   }
 
-  /* Reads a flag that is encoded only if it is set. */
-  void ReadSetFlag(std::string_view aValue, bool& aFlag)
-  {
-    aFlag = aValue == "1";
-    m_isWellFormed &= aFlag;
-  }
-
   void Read(std::string_view aValue, Duration& aDuration)
   {
     Duration::rep microseconds = 0;
@@ -254,7 +247,7 @@
 EncodeRelayHeader(const RelayHeader& aHeader)
 {
   return fmt::format(
-    ";s={};r={};t={};w={};u={};b={:d};i={:d};g={}{}{}{}{}",
+    ";s={};r={};t={};w={};u={};b={:d};i={:d};g={}{}{}{}",
     QuoteJson(aHeader.m_service),
     QuoteJson(aHeader.m_route),
     aHeader.m_remaining.count(),
@@ -263,7 +256,6 @@
     aHeader.m_isChildCall,
     aHeader.m_isIdempotent,
     aHeader.m_generation,
-    aHeader.m_isResent ? ";d=1" : "",
     aHeader.m_content ? fmt::format(";k={}", ToText(*aHeader.m_content)) : "",
     EncodeSuspectParameter(aHeader.m_suspect),
     EncodeServerReport(aHeader.m_knownServer));
@@ -292,8 +284,6 @@
       reader.Read(aValue, header.m_isIdempotent);
     } else if (aName == "g") {
       reader.Read(aValue, header.m_generation);
-    } else if (aName == "d") {
-      reader.ReadSetFlag(aValue, header.m_isResent);
     } else if (aName == "k") {
       reader.ReadOptional(ParseIdentifier<RequestKeyTag>(aValue),
                           header.m_content);
--- a/modules/cr_relay_server/server/cr_RelayShell.h
+++ b/modules/cr_relay_server/server/cr_RelayShell.h
@@ -101,9 +101,7 @@
                                 HttpResult&& aResult) const;
   HttpRequest MakeUpstreamRequest(const PendingCall& aPendingCall,
                                   Duration aRemaining) const;
-  HttpSendOptions MakeSendOptions(Duration aTimeout,
-                                  bool aIsIdempotent,
-                                  bool aIsResent) const;
+  HttpSendOptions MakeSendOptions(Duration aTimeout, bool aIsIdempotent) const;
   void CompleteCall(CallId aCall,
                     HttpResponse&& aResponse,
                     const RelayReport& aReport);
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -14,9 +14,6 @@
    The other end may have closed one that idled longer, and then it is unknown
    whether the request ran. */
 constexpr Duration kNonIdempotentIdleLimit = Milliseconds(800);
-/* On a connection that has carried the same request before, a late copy of the
-   first answer could not be told from the answer to the second sending. */
-constexpr Duration kNoReuse = Duration::zero();
 /* The caller of a younger request was connected when the request was read. */
 constexpr Duration kRecentlyCheckedAge = Milliseconds(5);
 constexpr Duration kHealthTimeout = Milliseconds(500);
@@ -70,15 +67,12 @@
 
 HttpSendOptions
 RelayServer::Implementation::MakeSendOptions(Duration aTimeout,
-                                             bool aIsIdempotent,
-                                             bool aIsResent) const
+                                             bool aIsIdempotent) const
 {
   HttpSendOptions options;
   options.m_timeout = std::max<Duration>(aTimeout, Milliseconds(1));
   options.m_echoedHeader = m_adapter.m_headers.m_requestId;
-  if (aIsResent) {
-    options.m_idleLimit = kNoReuse;
-  } else if (!aIsIdempotent) {
+  if (!aIsIdempotent) {
     options.m_idleLimit = kNonIdempotentIdleLimit;
   }
   return options;
@@ -122,8 +116,7 @@
     aAction.m_peer,
     std::move(request),
     MakeSendOptions(aAction.m_header.m_remaining + kPeerAnswerMargin,
-                    aAction.m_header.m_isIdempotent,
-                    aAction.m_header.m_isResent),
+                    aAction.m_header.m_isIdempotent),
     [weak = weak_from_this(), call = aAction.m_call](HttpResult aResult) {
       if (const auto self = weak.lock()) {
         self->OnForwardCompleted(call, std::move(aResult));
@@ -210,8 +203,7 @@
   pending->m_dispatch = m_serverClient.Send(
     m_settings.m_server,
     std::move(request),
-    MakeSendOptions(
-      aAction.m_remaining, aAction.m_isIdempotent, aAction.m_isResent),
+    MakeSendOptions(aAction.m_remaining, aAction.m_isIdempotent),
     [weak = weak_from_this(), call = aAction.m_call](HttpResult aResult) {
       if (const auto self = weak.lock()) {
         self->OnDispatchCompleted(call, std::move(aResult));
