--- a/stand_ins/crowd_stand_in/crowd/cr_Crowd.h
+++ b/stand_ins/crowd_stand_in/crowd/cr_Crowd.h
@@ -36,8 +36,11 @@
   Crowd& operator=(const Crowd&) = delete;
 
   //==========================================================================
-  /** Connects clients of the kind; without effect after Leave(). */
-  void Add(const CrowdClient& aClient, std::size_t aCount);
+  /** Connects clients of the kind, one each interval or all at once; without
+      effect after Leave(). */
+  void Add(const CrowdClient& aClient,
+           std::size_t aCount,
+           Duration aInterval = Duration::zero());
 
   /** Closes all connections and ends the thread. */
   void Leave();
