--- a/benchmarks/corianderrack-load/cr_Customers.cpp
+++ b/benchmarks/corianderrack-load/cr_Customers.cpp
@@ -12,6 +12,14 @@
 
 constexpr std::size_t kIdleConnections = 512;
 
+HttpClientSettings
+ClientSettings()
+{
+  HttpClientSettings settings;
+  settings.m_maxIdlePerEndpoint = kIdleConnections;
+  return settings;
+}
+
 /* State of one customer request. */
 struct Request
 {
@@ -68,7 +76,7 @@
     : m_threads(aThreads)
     , m_scenario(std::move(aScenario))
     , m_configuration(std::move(aConfiguration))
-    , m_client(aThreads, { kIdleConnections })
+    , m_client(aThreads, ClientSettings())
     , m_recorder(m_scenario.m_length)
   {
   }
--- a/modules/cr_core/call/cr_CallHeader.h
+++ b/modules/cr_core/call/cr_CallHeader.h
@@ -34,6 +34,8 @@
 {
   std::string m_contentType;
   std::string m_body;
+  /** Keeps the reservation of the body's memory; may be null. */
+  std::shared_ptr<const void> m_memory{};
 };
 
 /** A shared immutable payload. */
--- a/modules/cr_ownership/ledger/cr_KeyLedger.cpp
+++ b/modules/cr_ownership/ledger/cr_KeyLedger.cpp
@@ -17,6 +17,17 @@
                   : 0;
 }
 
+/* Records have a limit of their own. */
+PayloadPointer
+WithoutReservation(PayloadPointer aPayload)
+{
+  if (!aPayload || !aPayload->m_memory) {
+    return aPayload;
+  }
+  return std::make_shared<Payload>(
+    Payload{ aPayload->m_contentType, aPayload->m_body });
+}
+
 }
 
 KeyLedger::KeyLedger(KeyLedgerLimits aLimits)
@@ -94,7 +105,7 @@
   record.m_waiters.clear();
   record.m_hasEnded = true;
   record.m_report = aReport;
-  record.m_payload = std::move(aPayload);
+  record.m_payload = WithoutReservation(std::move(aPayload));
   m_bytes += BytesOf(record.m_payload);
   m_ended.push_back({ m_now + m_limits.m_retention, aCall });
   return waiters;
--- a/modules/cr_process/server/cr_NodeShell.cpp
+++ b/modules/cr_process/server/cr_NodeShell.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr Duration kStoreTimeout = Seconds(2);
+/* Part of the memory for answers of the platform, apart from all others, so
+   that a crowd of customers doesn't delay what the node needs. */
+constexpr std::uint64_t kStoreMemoryDivisor = 16;
 /* Time for other nodes to learn of the shutdown while this one still accepts
    connections. */
 constexpr Duration kDrainDelay = Milliseconds(500);
@@ -28,14 +31,27 @@
            aSettings.m_contacts };
 }
 
+HttpClientSettings
+ClientSettings(std::shared_ptr<MemoryAccount> aAccount)
+{
+  HttpClientSettings settings;
+  settings.m_account = std::move(aAccount);
+  return settings;
+}
+
 }
 
 NodeShell::NodeShell(NodeSettings aSettings, Incarnation aIncarnation)
   : m_settings(std::move(aSettings))
+  , m_account(std::make_shared<MemoryAccount>(MemoryAccount::LimitForProcess(
+      m_settings.m_memoryBytes - KeyLedgerLimits{}.m_bytes)))
   , m_decisions(MakeIdentity(m_settings, aIncarnation))
   , m_threads(m_settings.m_threads)
-  , m_client(m_threads, {})
-  , m_store(m_client, m_settings.m_platform, kStoreTimeout)
+  , m_client(m_threads, ClientSettings(m_account))
+  , m_storeClient(m_threads,
+                  ClientSettings(std::make_shared<MemoryAccount>(
+                    m_settings.m_memoryBytes / kStoreMemoryDivisor)))
+  , m_store(m_storeClient, m_settings.m_platform, kStoreTimeout)
   , m_random(m_decisions.Identity().m_seed)
 {
 }
@@ -112,16 +128,19 @@
                                                   const HttpResponder&),
                       HttpOverlapCheck aMayOverlap)
 {
+  HttpLimits limits;
+  limits.m_heldBodyBytes = m_account->LargestHolder();
   return std::make_unique<HttpServer>(
     m_threads,
-    HttpLimits{},
+    limits,
     [weak = weak_from_this(), aHandler](HttpRequest aRequest,
                                         const HttpResponder& aResponder) {
       if (const auto self = weak.lock()) {
         (self.get()->*aHandler)(std::move(aRequest), aResponder);
       }
     },
-    std::move(aMayOverlap));
+    std::move(aMayOverlap),
+    HttpServerOptions{ m_account, {}, {} });
 }
 
 //==============================================================================
--- a/modules/cr_process/server/cr_NodeShell.h
+++ b/modules/cr_process/server/cr_NodeShell.h
@@ -87,6 +87,8 @@
     HttpOverlapCheck aMayOverlap = {});
 
   const NodeSettings m_settings;
+  /* For customers, other nodes and the backend server. */
+  const std::shared_ptr<MemoryAccount> m_account;
   NodeDecisions m_decisions;
   NodeMetrics m_metrics;
   std::atomic<std::uint64_t> m_sequence{ 0 };
@@ -99,6 +101,7 @@
   std::atomic<bool> m_closed{ false };
   IoThreads m_threads;
   HttpClient m_client;
+  HttpClient m_storeClient;
   StoreConnection m_store;
   Guarded<Random> m_random;
   std::unique_ptr<HttpServer> m_callerServer;
--- a/modules/cr_process/server/cr_NodeShellActions.cpp
+++ b/modules/cr_process/server/cr_NodeShellActions.cpp
@@ -117,7 +117,8 @@
         if (auto* response = std::get_if<HttpResponse>(&aResult)) {
           auto payload = std::make_shared<Payload>(Payload{
             std::string(FindHeader(response->m_headers, "Content-Type")),
-            std::move(response->m_body) });
+            std::move(response->m_body),
+            response->m_memory });
           self->HandleEvent(
             ServerAnswered{ call, response->m_status, std::move(payload) });
           return;
--- a/modules/cr_process/wire/cr_CallWire.cpp
+++ b/modules/cr_process/wire/cr_CallWire.cpp
@@ -78,10 +78,14 @@
 }
 
 PayloadPointer
-ReadPayload(const HttpHeaders& aHeaders, std::string aBody)
+ReadPayload(const HttpHeaders& aHeaders,
+            std::string aBody,
+            MessageMemory aMemory)
 {
-  return std::make_shared<Payload>(Payload{
-    std::string(FindHeader(aHeaders, kContentTypeHeader)), std::move(aBody) });
+  return std::make_shared<Payload>(
+    Payload{ std::string(FindHeader(aHeaders, kContentTypeHeader)),
+             std::move(aBody),
+             std::move(aMemory) });
 }
 
 void
@@ -92,7 +96,7 @@
 
 void
 AddPayload(HttpHeaders& aHeaders,
-           std::string& aBody,
+           SharedBody& aBody,
            const PayloadPointer& aPayload)
 {
   if (!aPayload) {
@@ -101,7 +105,7 @@
   if (!aPayload->m_contentType.empty()) {
     Add(aHeaders, kContentTypeHeader, aPayload->m_contentType);
   }
-  aBody = aPayload->m_body;
+  aBody = SharedBody(aPayload, &aPayload->m_body);
 }
 
 /* Nodes exchange the remaining time in microseconds, so that rounding errors do
@@ -194,7 +198,8 @@
     }
     call.m_request = *request;
   }
-  call.m_payload = ReadPayload(aRequest.m_headers, aRequest.m_body);
+  call.m_payload =
+    ReadPayload(aRequest.m_headers, aRequest.m_body, aRequest.m_memory);
   return call;
 }
 
@@ -254,7 +259,7 @@
                     static_cast<std::uint32_t>(*depth),
                     *generation,
                     static_cast<std::uint32_t>(*crashes) };
-  call.m_payload = ReadPayload(headers, aRequest.m_body);
+  call.m_payload = ReadPayload(headers, aRequest.m_body, aRequest.m_memory);
   return call;
 }
 
@@ -277,7 +282,7 @@
   if (header.m_crashes > 0) {
     Add(headers, kCrashesHeader, std::to_string(header.m_crashes));
   }
-  AddPayload(headers, request.m_body, aCall.m_payload);
+  AddPayload(headers, request.m_sharedBody, aCall.m_payload);
   return request;
 }
 
@@ -296,7 +301,7 @@
   Add(headers,
       kRemainingHeader,
       std::to_string(ToMilliseconds(header.m_remaining)));
-  AddPayload(headers, request.m_body, aCall.m_payload);
+  AddPayload(headers, request.m_sharedBody, aCall.m_payload);
   return request;
 }
 
@@ -311,7 +316,11 @@
   if (aAnswer.m_report.m_reason != Reason::None) {
     Add(headers, kReasonHeader, std::string(ToText(aAnswer.m_report.m_reason)));
   }
-  AddPayload(headers, response.m_body, aAnswer.m_payload);
+  AddPayload(headers, response.m_sharedBody, aAnswer.m_payload);
+  if (aAnswer.m_payload) {
+    response.m_memory = std::static_pointer_cast<const MemoryReservation>(
+      aAnswer.m_payload->m_memory);
+  }
   return response;
 }
 
@@ -357,7 +366,8 @@
                       static_cast<std::uint32_t>(*unusedAttempts),
                       static_cast<AdmissionLevel>(*level),
                       *generation };
-  answer.m_payload = ReadPayload(headers, std::move(aResponse.m_body));
+  answer.m_payload =
+    ReadPayload(headers, std::move(aResponse.m_body), aResponse.m_memory);
   return answer;
 }
 
--- a/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
+++ b/modules/cr_relay/flow/cr_RelayEntryFlow.cpp
@@ -458,6 +458,11 @@
       aReport.m_reason != Reason::RateLimited) {
     return;
   }
+  // A node without room for the request has not asked its gate.
+  if (!aReport.m_hasReachedServer && aReport.m_gateLoad <= 0 &&
+      aReport.m_pathLoad <= 0) {
+    return;
+  }
   if (aReport.m_isCalledRoute) {
     m_shared.m_calledRoutes.insert(name);
   } else {
--- a/modules/cr_relay_server/server/cr_RelayMetrics.cpp
+++ b/modules/cr_relay_server/server/cr_RelayMetrics.cpp
@@ -25,8 +25,12 @@
 constexpr MetricId kLostLogLines = 16;
 constexpr MetricId kReadDelaySeconds = 17;
 constexpr MetricId kRefusals = 18;
+constexpr MetricId kHeldBytes = 19;
+constexpr MetricId kHeldBytesPeak = 20;
+constexpr MetricId kHeldBytesLimit = 21;
+constexpr MetricId kRoomShortages = 22;
 
-constexpr std::array<MetricFamily, 19> kFamilies = { {
+constexpr std::array<MetricFamily, 23> kFamilies = { {
   { "corianderrack_relay_requests_total",
     "Requests that arrived",
     MetricKind::Counter },
@@ -82,6 +86,18 @@
   { "corianderrack_relay_refusals_total",
     "Requests that this node refused as their entry, by reason and limit",
     MetricKind::Counter },
+  { "corianderrack_relay_held_bytes",
+    "Memory held for requests and answers",
+    MetricKind::Gauge },
+  { "corianderrack_relay_held_bytes_peak",
+    "Most memory held for requests and answers at once",
+    MetricKind::Gauge },
+  { "corianderrack_relay_held_bytes_limit",
+    "Memory that may be held for requests and answers",
+    MetricKind::Gauge },
+  { "corianderrack_relay_room_shortages",
+    "Times that a request or an answer had no room to be read on",
+    MetricKind::Gauge },
 } };
 
 std::string_view
@@ -172,10 +188,11 @@
 
 std::string
 RelayMetrics::Write(const RelayStatus& aStatus,
+                    const MemoryAccount& aAccount,
                     std::uint64_t aLostLogLines) const
 {
   const auto number = [](auto aValue) { return static_cast<double>(aValue); };
-  const std::array<GaugeValue, 10> gauges = { {
+  const std::array<GaugeValue, 14> gauges = { {
     { kGeneration, {}, number(aStatus.m_generation) },
     { kNodes, {}, number(aStatus.m_nodes) },
     { kRunning, {}, number(aStatus.m_running) },
@@ -186,6 +203,10 @@
     { kReady, {}, number(aStatus.m_isReady ? 1 : 0) },
     { kResidentBytes, {}, number(ReadProcessUsage().m_residentBytes) },
     { kLostLogLines, {}, number(aLostLogLines) },
+    { kHeldBytes, {}, number(aAccount.Held()) },
+    { kHeldBytesPeak, {}, number(aAccount.Peak()) },
+    { kHeldBytesLimit, {}, number(aAccount.Limit()) },
+    { kRoomShortages, {}, number(aAccount.Shortages()) },
   } };
   return m_registry.Write(gauges);
 }
--- a/modules/cr_relay_server/server/cr_RelayMetrics.h
+++ b/modules/cr_relay_server/server/cr_RelayMetrics.h
@@ -4,6 +4,7 @@
 
 #include "cr_metrics/cr_metrics.h"
 #include "cr_relay/cr_relay.h"
+#include "cr_transport/cr_transport.h"
 
 namespace cr {
 
@@ -47,6 +48,7 @@
   //==========================================================================
   /** Returns all metrics in the Prometheus text exposition format. */
   std::string Write(const RelayStatus& aStatus,
+                    const MemoryAccount& aAccount,
                     std::uint64_t aLostLogLines) const;
 
 private:
--- a/modules/cr_relay_server/server/cr_RelayServer.h
+++ b/modules/cr_relay_server/server/cr_RelayServer.h
@@ -19,9 +19,8 @@
   /** Address of the host's backend server. */
   Endpoint m_server;
   Endpoint m_platform;
-  /** Max total bytes of request bodies that are buffered at once, and of
-      response bodies in receipt. */
-  std::uint64_t m_heldBodyBytes = 64 * 1024 * 1024;
+  /** Memory that the process may use. */
+  std::uint64_t m_memoryBytes = 256 * 1024 * 1024;
   /** Time from the shutdown request until the process must have exited. */
   Duration m_shutdownLimit = Seconds(6);
 };
--- a/modules/cr_relay_server/server/cr_RelayShell.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShell.cpp
@@ -24,8 +24,11 @@
 constexpr Duration kServerIdleLimit = Seconds(5);
 constexpr Duration kServerConnectTimeout = Milliseconds(300);
 constexpr Duration kStoreIdleLimit = Seconds(20);
-/* HTTP clients that share the memory for bodies of responses. */
-constexpr std::uint64_t kClients = 3;
+/* Part of the memory for answers of the platform, apart from all others, so
+   that a crowd of customers doesn't delay what the node needs. */
+constexpr std::uint64_t kStoreMemoryDivisor = 16;
+/* Part of the memory for announcements and requests of operators. */
+constexpr std::uint64_t kControlMemoryDivisor = 32;
 constexpr Duration kStoreConnectTimeout = Seconds(1);
 /* Customers' idle connections stay open this much longer than configured. */
 constexpr Duration kIdleGrace = Seconds(1);
@@ -54,14 +57,14 @@
 HttpClientSettings
 ClientSettings(Duration aIdleLimit,
                Duration aConnectTimeout,
-               std::uint64_t aHeldBodyBytes)
+               std::shared_ptr<MemoryAccount> aAccount)
 {
   HttpClientSettings settings;
   settings.m_maxIdlePerEndpoint = kIdleConnectionsPerEndpoint;
   settings.m_idleLimit = aIdleLimit;
   settings.m_connectTimeout = aConnectTimeout;
-  settings.m_heldBodyBytes = aHeldBodyBytes;
-  settings.m_bodyBytes = aHeldBodyBytes;
+  settings.m_bodyBytes = aAccount->LargestHolder();
+  settings.m_account = std::move(aAccount);
   return settings;
 }
 
@@ -82,22 +85,23 @@
                                             RelayProtocolAdapter aAdapter)
   : m_settings(std::move(aSettings))
   , m_adapter(std::move(aAdapter))
+  , m_account(std::make_shared<MemoryAccount>(
+      MemoryAccount::LimitForProcess(m_settings.m_memoryBytes)))
   , m_decisions(m_settings.m_relay)
   , m_log(m_settings.m_relay.m_host)
   , m_threads(1)
   , m_readDelayProbe(m_threads)
   , m_peerClient(m_threads,
-                 ClientSettings(kPeerIdleLimit,
-                                kPeerConnectTimeout,
-                                m_settings.m_heldBodyBytes / kClients))
-  , m_serverClient(m_threads,
-                   ClientSettings(kServerIdleLimit,
-                                  kServerConnectTimeout,
-                                  m_settings.m_heldBodyBytes / kClients))
-  , m_storeClient(m_threads,
-                  ClientSettings(kStoreIdleLimit,
-                                 kStoreConnectTimeout,
-                                 m_settings.m_heldBodyBytes / kClients))
+                 ClientSettings(kPeerIdleLimit, kPeerConnectTimeout, m_account))
+  , m_serverClient(
+      m_threads,
+      ClientSettings(kServerIdleLimit, kServerConnectTimeout, m_account))
+  , m_storeClient(
+      m_threads,
+      ClientSettings(kStoreIdleLimit,
+                     kStoreConnectTimeout,
+                     std::make_shared<MemoryAccount>(m_settings.m_memoryBytes /
+                                                     kStoreMemoryDivisor)))
 {
 }
 
@@ -107,20 +111,36 @@
   HttpLimits customers;
   customers.m_idle = kInitialIdleLimit;
   customers.m_transfer = kTransferLimit;
-  customers.m_heldBodyBytes = m_settings.m_heldBodyBytes;
+  customers.m_heldBodyBytes = m_account->LargestHolder();
   HttpLimits peers = customers;
   peers.m_headerBytes += kAddedHeaderBytes;
-  peers.m_bodyBytes = m_settings.m_heldBodyBytes;
+  peers.m_bodyBytes = m_account->LargestHolder();
+  RelayReport notRun;
+  notRun.m_outcome = Outcome::NotRun;
+  notRun.m_reason = Reason::Overloaded;
   m_customerServer =
     MakeServer(customers,
                &Implementation::HandleCustomer,
                [weak = weak_from_this()](const HttpRequest& aRequest) {
                  const auto self = weak.lock();
                  return self && self->IsIdempotent(aRequest);
-               });
-  m_peerServer = MakeServer(peers, &Implementation::HandlePeer);
-  m_controlServer = MakeServer({}, &Implementation::HandleControl);
-  m_operatorServer = MakeServer({}, &Implementation::HandleOperator);
+               },
+               { m_account, {}, m_adapter.m_headers.m_requestId });
+  m_peerServer = MakeServer(
+    peers,
+    &Implementation::HandlePeer,
+    {},
+    { m_account,
+      { { std::string(kReportHeaderName), EncodeRelayReport(notRun) } },
+      m_adapter.m_headers.m_requestId });
+  const HttpServerOptions control{ std::make_shared<MemoryAccount>(
+                                     m_settings.m_memoryBytes /
+                                     kControlMemoryDivisor),
+                                   {},
+                                   {} };
+  m_controlServer = MakeServer({}, &Implementation::HandleControl, {}, control);
+  m_operatorServer =
+    MakeServer({}, &Implementation::HandleOperator, {}, control);
   const std::array<std::pair<HttpServer*, Endpoint>, 4> ports = { {
     { m_customerServer.get(), m_settings.m_customers },
     { m_peerServer.get(), m_settings.m_relay.m_peer },
@@ -217,7 +237,8 @@
 std::unique_ptr<HttpServer>
 RelayServer::Implementation::MakeServer(const HttpLimits& aLimits,
                                         Handler aHandler,
-                                        HttpOverlapCheck aMayOverlap)
+                                        HttpOverlapCheck aMayOverlap,
+                                        HttpServerOptions aOptions)
 {
   return std::make_unique<HttpServer>(
     m_threads,
@@ -229,7 +250,8 @@
         (self.get()->*aHandler)(std::move(aRequest), aResponder);
       }
     },
-    std::move(aMayOverlap));
+    std::move(aMayOverlap),
+    std::move(aOptions));
 }
 
 /* Idempotent requests of one connection run side by side. */
@@ -418,7 +440,8 @@
   if (aRequest.m_target == "/metrics") {
     aResponder.Send(MakeTextResponse(
       kHttpOk,
-      m_metrics.Write(m_decisions.Status(IoThreads::Now()), m_log.LostLines()),
+      m_metrics.Write(
+        m_decisions.Status(IoThreads::Now()), *m_account, m_log.LostLines()),
       "text/plain; version=0.0.4"));
     return;
   }
@@ -560,7 +583,7 @@
   limits.m_header = routes->m_limits.m_headerTimeout;
   limits.m_idle = routes->m_limits.m_idleTimeout + kIdleGrace;
   limits.m_transfer = kTransferLimit;
-  limits.m_heldBodyBytes = m_settings.m_heldBodyBytes;
+  limits.m_heldBodyBytes = m_account->LargestHolder();
   m_customerServer->SetLimits(limits);
   limits.m_headerBytes += kAddedHeaderBytes;
   limits.m_idle = kInitialIdleLimit;
--- a/modules/cr_relay_server/server/cr_RelayShell.h
+++ b/modules/cr_relay_server/server/cr_RelayShell.h
@@ -51,7 +51,8 @@
 
   std::unique_ptr<HttpServer> MakeServer(const HttpLimits& aLimits,
                                          Handler aHandler,
-                                         HttpOverlapCheck aMayOverlap = {});
+                                         HttpOverlapCheck aMayOverlap = {},
+                                         HttpServerOptions aOptions = {});
   bool IsIdempotent(const HttpRequest& aRequest) const;
   void HandleCustomer(HttpRequest&& aRequest, const HttpResponder& aResponder);
   void HandlePeer(HttpRequest&& aRequest, const HttpResponder& aResponder);
@@ -110,6 +111,8 @@
 
   const RelayServerSettings m_settings;
   const RelayProtocolAdapter m_adapter;
+  /* For customers, other nodes and the backend server. */
+  const std::shared_ptr<MemoryAccount> m_account;
   RelayDecisions m_decisions;
   RelayMetrics m_metrics;
   RelayLog m_log;
--- a/modules/cr_relay_server/server/cr_RelayShellActions.cpp
+++ b/modules/cr_relay_server/server/cr_RelayShellActions.cpp
@@ -41,16 +41,24 @@
 
 }
 
-/* Copies the request for another node or the backend server; only the headers
-   that the node sets are replaced. */
+/* Copies the request for another node or the backend server, but for its body;
+   only the headers that the node sets are replaced. */
 HttpRequest
 RelayServer::Implementation::MakeUpstreamRequest(
   const PendingCall& aPendingCall,
   Duration aRemaining) const
 {
   const auto& names = m_adapter.m_headers;
-  HttpRequest request = *aPendingCall.m_request;
+  const std::shared_ptr<const HttpRequest>& received = aPendingCall.m_request;
+  HttpRequest request{
+    received->m_method, received->m_target, received->m_headers, {}
+  };
+  request.m_sharedBody = SharedBody(received, &received->m_body);
   RemoveHopByHopHeaders(request.m_headers);
+  // A caller may have listed it in its Connection header.
+  if (FindHeader(request.m_headers, names.m_requestId).empty()) {
+    request.m_headers.push_back({ names.m_requestId, aPendingCall.m_id });
+  }
   RemoveHeader(request.m_headers, names.m_callerTimeout);
   RemoveHeader(request.m_headers, names.m_expectedServer);
   RemoveHeader(request.m_headers, kRelayHeaderName);
--- a/modules/cr_settings/node/cr_NodeSettings.cpp
+++ b/modules/cr_settings/node/cr_NodeSettings.cpp
@@ -15,6 +15,9 @@
 constexpr IntegerRange kShutdownRangeSeconds = { 1, 3600 };
 constexpr Json::ArrayIndex kMaxContacts = 16;
 constexpr std::int64_t kDefaultThreads = 2;
+constexpr IntegerRange kMemoryRangeMb = { 128, 1 << 20 };
+constexpr std::int64_t kDefaultMemoryMb = 256;
+constexpr std::uint64_t kMebibyte = std::uint64_t{ 1024 } * 1024;
 constexpr std::int64_t kDefaultShutdownSeconds = 30;
 
 std::uint16_t
@@ -111,6 +114,9 @@
     ParseEndpoint(document, reader.ReadValue("platform"), aFindings);
   settings.m_contacts =
     ReadContacts(document, reader.ReadValue("contacts"), aFindings);
+  settings.m_memoryBytes =
+    kMebibyte * static_cast<std::uint64_t>(reader.ReadInteger(
+                  "memory_mb", kMemoryRangeMb, kDefaultMemoryMb));
   settings.m_threads = static_cast<std::uint32_t>(
     reader.ReadInteger("threads", kThreadRange, kDefaultThreads));
   settings.m_shutdownLimit = Seconds(reader.ReadInteger(
--- a/modules/cr_settings/node/cr_NodeSettings.h
+++ b/modules/cr_settings/node/cr_NodeSettings.h
@@ -44,6 +44,8 @@
   /** Peer endpoints of some other nodes, queried when the table service is
       unavailable at startup; may be empty. */
   std::vector<Endpoint> m_contacts;
+  /** Memory that the process may use. */
+  std::uint64_t m_memoryBytes = std::uint64_t{ 256 } * 1024 * 1024;
   /** Number of I/O threads. */
   std::uint32_t m_threads = 2;
   /** Maximum time that a graceful shutdown waits for calls in progress. */
--- a/modules/cr_transport/cr_transport.h
+++ b/modules/cr_transport/cr_transport.h
@@ -13,3 +13,5 @@
 #include "cr_transport/io/cr_Cancellation.h"
 #include "cr_transport/io/cr_EventLoopProbe.h"
 #include "cr_transport/io/cr_IoThreads.h"
+#include "cr_transport/memory/cr_HeapSettings.h"
+#include "cr_transport/memory/cr_MemoryAccount.h"
--- a/modules/cr_transport/http/cr_HttpClient.cpp
+++ b/modules/cr_transport/http/cr_HttpClient.cpp
@@ -13,10 +13,12 @@
 
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include "cr_core/cr_core.h"
+#include "cr_transport/http/cr_HttpBody.h"
 #include "cr_transport/http/cr_HttpResponseReader.h"
 #include "cr_transport/io/cr_ConnectionExecutor.h"
 
@@ -35,10 +37,12 @@
 /* Lower final status codes tell success. */
 constexpr unsigned kFirstRedirectionStatus = 300;
 
-http::request<http::string_body>
+using Message = http::request<SharedBodyType>;
+
+Message
 ToMessage(HttpRequest&& aRequest, const Endpoint& aEndpoint)
 {
-  http::request<http::string_body> message;
+  Message message;
   message.version(kHttpVersion);
   message.method_string(aRequest.m_method);
   message.target(aRequest.m_target);
@@ -50,7 +54,7 @@
       message.insert(header.m_name, header.m_value);
     }
   }
-  message.body() = std::move(aRequest.m_body);
+  message.body() = ShareBody(std::move(aRequest));
   message.keep_alive(true);
   message.prepare_payload();
   return message;
@@ -130,8 +134,10 @@
 
   Implementation(IoThreads& aThreads, HttpClientSettings aSettings)
     : m_threads(aThreads)
-    , m_settings(aSettings)
-    , m_bodyBudget(std::make_shared<HttpBodyBudget>(aSettings.m_heldBodyBytes))
+    , m_settings(std::move(aSettings))
+    , m_account(m_settings.m_account
+                  ? m_settings.m_account
+                  : std::make_shared<MemoryAccount>(m_settings.m_heldBodyBytes))
   {
   }
 
@@ -144,7 +150,7 @@
 
   IoThreads& m_threads;
   const HttpClientSettings m_settings;
-  const std::shared_ptr<HttpBodyBudget> m_bodyBudget;
+  const std::shared_ptr<MemoryAccount> m_account;
   std::atomic<std::uint64_t> m_lastUnidentified{ 0 };
 
 private:
@@ -165,6 +171,8 @@
     : m_client(std::move(aClient))
     , m_endpoint(std::move(aEndpoint))
     , m_options(std::move(aOptions))
+    , m_requestMemory(MemoryOf(aRequest))
+    , m_memory(m_client->m_account)
     , m_message(ToMessage(std::move(aRequest), m_endpoint))
     , m_callback(std::move(aCallback))
     , m_identity(Identity())
@@ -174,6 +182,7 @@
     if (!m_reused) {
       m_connection = std::make_unique<Connection>(m_client->m_threads);
     }
+    m_memory.Resize(m_requestMemory);
     m_executor = m_connection->m_stream.get_executor();
     m_deadline.emplace(m_executor);
   }
@@ -299,19 +308,38 @@
   void ReadAnswer()
   {
     HttpResponseReader& reader = m_connection->m_reader;
-    reader.Begin(m_client->m_bodyBudget,
-                 m_client->m_settings.m_bodyBytes,
+    reader.Begin(m_client->m_settings.m_bodyBytes,
                  m_message.method() == http::verb::head);
     OnProgress(reader.Read());
   }
 
+  /* Bytes for which there is no room stay with the server. */
   void ReadMore()
   {
+    HttpResponseReader& reader = m_connection->m_reader;
+    const std::uint64_t memory = m_requestMemory + reader.MemoryAfterReceipt();
+    const MemoryGrowth growth =
+      reader.IsLengthKnown() ? MemoryGrowth::Whole : MemoryGrowth::Stepwise;
+    if (!m_memory.TryResize(memory, growth)) {
+      m_memory.WaitForRoom(memory, growth, [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          asio::post(self->m_executor, [self] { self->OnRoom(); });
+        }
+      });
+      return;
+    }
     m_connection->m_stream.async_read_some(
-      m_connection->m_reader.Prepare(),
+      reader.Prepare(),
       beast::bind_front_handler(&Exchange::OnRead, shared_from_this()));
   }
 
+  void OnRoom()
+  {
+    if (!m_done) {
+      ReadMore();
+    }
+  }
+
   void OnRead(beast::error_code aError, std::size_t aBytes)
   {
     if (m_done) {
@@ -370,6 +398,9 @@
       m_connection->m_carried.size() < kMaxRequestsPerConnection;
     HttpResponse response = reader.Take();
     response.m_earlier = m_connection->m_carried.size() - 1;
+    m_memory.Settle(MemoryOf(response.m_headers) + response.m_body.size());
+    response.m_memory =
+      std::make_shared<const MemoryReservation>(std::move(m_memory));
     if (reusable) {
       m_client->ReleaseIdle(m_endpoint, std::move(m_connection));
     } else {
@@ -438,6 +469,7 @@
     }
     m_done = true;
     m_deadline->cancel();
+    m_memory.Settle(0);
     CloseConnection();
     Finish(HttpFailure{
       m_sent, aTimedOut, m_unreachable, m_brokenAnswer, std::move(aText) });
@@ -455,7 +487,9 @@
   std::shared_ptr<Implementation> m_client;
   Endpoint m_endpoint;
   HttpSendOptions m_options;
-  http::request<http::string_body> m_message;
+  const std::uint64_t m_requestMemory;
+  MemoryReservation m_memory;
+  Message m_message;
   HttpCallback m_callback;
   const std::uint64_t m_identity;
   ConnectionPointer m_connection;
@@ -538,7 +572,8 @@
 
 //==============================================================================
 HttpClient::HttpClient(IoThreads& aThreads, HttpClientSettings aSettings)
-  : m_implementation(std::make_shared<Implementation>(aThreads, aSettings))
+  : m_implementation(
+      std::make_shared<Implementation>(aThreads, std::move(aSettings)))
 {
 }
 
--- a/modules/cr_transport/http/cr_HttpClient.h
+++ b/modules/cr_transport/http/cr_HttpClient.h
@@ -51,8 +51,10 @@
   Duration m_unackedLimit = Seconds(1);
   Duration m_connectTimeout = Seconds(1);
   std::uint64_t m_bodyBytes = 4 * 1024 * 1024;
-  /** Max bytes of response bodies in receipt over all exchanges; an exchange
-      that exceeds it fails. */
+  /** Account for requests in progress and for responses. Without room in it, a
+      response is not read on. Null for an account of the client's own. */
+  std::shared_ptr<MemoryAccount> m_account;
+  /** Limit of that account. */
   std::uint64_t m_heldBodyBytes = 256 * 1024 * 1024;
 };
 
--- a/modules/cr_transport/http/cr_HttpConnection.cpp
+++ b/modules/cr_transport/http/cr_HttpConnection.cpp
@@ -1,8 +1,10 @@
 #include "cr_transport/http/cr_HttpConnection.h"
 
 #include <algorithm>
+#include <array>
 
 #include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core/bind_handler.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -24,6 +26,8 @@
    earlier response. */
 constexpr std::uint64_t kMaxWaitingResponseBytes = 256 * 1024;
 constexpr std::size_t kDiscardChunkBytes = 4096;
+/* Responses of the program's own that are as short are not counted. */
+constexpr std::uint64_t kUncountedBytes = 4096;
 constexpr std::size_t kDiscardLimitBytes = 16 * 1024 * 1024;
 /* Time for the caller to close its end after the last response. */
 constexpr Duration kLingerLimit = Seconds(2);
@@ -37,20 +41,22 @@
 }
 
 /* A response to HEAD has the Content-Length of the body that it omits. */
-http::response<http::string_body>
+http::response<SharedBodyType>
 ToMessage(HttpResponse&& aResponse, bool aKeepAlive, bool aToHead)
 {
-  http::response<http::string_body> message;
+  http::response<SharedBodyType> message;
   message.version(kHttpVersion);
   message.result(aResponse.m_status);
   for (const HttpHeader& header : aResponse.m_headers) {
     message.insert(header.m_name, header.m_value);
   }
   message.keep_alive(aKeepAlive);
+  const unsigned status = aResponse.m_status;
+  SharedBody body = ShareBody(std::move(aResponse));
   if (aToHead) {
-    message.content_length(aResponse.m_body.size());
-  } else if (!IsWithoutBody(aResponse.m_status)) {
-    message.body() = std::move(aResponse.m_body);
+    message.content_length(SharedBodyType::size(body));
+  } else if (!IsWithoutBody(status)) {
+    message.body() = std::move(body);
     message.prepare_payload();
   }
   return message;
@@ -117,6 +123,8 @@
   : m_stream(std::move(aSocket))
   , m_server(std::move(aServer))
   , m_onClosed(std::move(aOnClosed))
+  , m_reader(m_server->m_echoedHeader)
+  , m_memory(m_server->m_account)
   , m_readTimer(m_stream.get_executor())
 {
 }
@@ -183,10 +191,10 @@
       return false;
     }
   }
-  const std::uint64_t held = m_server->m_heldBytes;
+  const std::uint64_t others = m_server->m_heldBytes - m_readerBytes;
   const HttpReadProgress progress = m_reader.Read(
     m_limits,
-    m_limits.m_heldBodyBytes - std::min(held, m_limits.m_heldBodyBytes));
+    m_limits.m_heldBodyBytes - std::min(others, m_limits.m_heldBodyBytes));
   SetReaderBytes(m_reader.BodyBytes());
   if (progress == HttpReadProgress::Refused) {
     Refuse(m_reader.Refusal());
@@ -195,6 +203,8 @@
     return false;
   }
   HttpRequestReader::ReadRequest read = m_reader.Take();
+  SettleMemory();
+  read.m_request.m_memory = Reserve(MemoryOf(read.m_request));
   const bool mayOverlap =
     m_server->m_mayOverlap && m_server->m_mayOverlap(read.m_request);
   m_waiting = WaitingRequest{ std::move(read), mayOverlap, IoThreads::Now() };
@@ -206,6 +216,11 @@
 void
 HttpConnection::Refuse(HttpResponse aResponse)
 {
+  if (aResponse.m_status == kHttpUnavailable) {
+    aResponse.m_headers.insert(aResponse.m_headers.end(),
+                               m_server->m_refusalHeaders.begin(),
+                               m_server->m_refusalHeaders.end());
+  }
   Exchange& exchange = m_exchanges.emplace_back();
   exchange.m_number = ++m_lastNumber;
   exchange.m_response = std::move(aResponse);
@@ -268,6 +283,23 @@
   m_waiting.reset();
   m_reader.Discard();
   SetReaderBytes(0);
+  SettleMemory();
+}
+
+/* Gives up a place in the queue for room: another wait for bytes follows. */
+void
+HttpConnection::SettleMemory()
+{
+  m_isAwaitingRoom = false;
+  m_memory.Settle(m_reader.Memory());
+}
+
+MessageMemory
+HttpConnection::Reserve(std::uint64_t aBytes) const
+{
+  MemoryReservation memory(m_server->m_account);
+  memory.Resize(aBytes);
+  return std::make_shared<const MemoryReservation>(std::move(memory));
 }
 
 //==============================================================================
@@ -275,7 +307,7 @@
 void
 HttpConnection::WaitForBytes()
 {
-  if (m_isAwaitingBytes || m_isDiscarding || !m_isOpen ||
+  if (m_isAwaitingBytes || m_isAwaitingRoom || m_isDiscarding || !m_isOpen ||
       m_reader.BytesAllowed() == 0) {
     return;
   }
@@ -294,6 +326,9 @@
   if (m_isDiscarding || !m_isOpen || m_reader.BytesAllowed() == 0) {
     return;
   }
+  if (!aError && !ReserveForReceipt()) {
+    return;
+  }
   beast::error_code error = aError;
   if (!error) {
     m_reader.Commit(m_stream.socket().read_some(m_reader.Prepare(), error));
@@ -309,6 +344,38 @@
   Advance();
 }
 
+/* Returns whether there is room to read on. Otherwise, a request whose header
+   was read is refused, and the bytes of any other one stay with the caller
+   until there is room. */
+bool
+HttpConnection::ReserveForReceipt()
+{
+  const std::uint64_t memory = m_reader.MemoryAfterReceipt();
+  if (m_memory.TryResize(memory)) {
+    return true;
+  }
+  if (m_reader.IsHeaderRead()) {
+    m_reader.RefuseForLackOfRoom();
+    Refuse(m_reader.Refusal());
+    Advance();
+    return false;
+  }
+  m_isAwaitingRoom = true;
+  m_memory.WaitForRoom(memory, MemoryGrowth::Whole, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      asio::post(self->m_stream.get_executor(), [self] { self->OnRoom(); });
+    }
+  });
+  return false;
+}
+
+void
+HttpConnection::OnRoom()
+{
+  m_isAwaitingRoom = false;
+  WaitForBytes();
+}
+
 void
 HttpConnection::SetReadDeadline()
 {
@@ -407,7 +474,13 @@
   if (aResponse.m_close) {
     m_takesRequests = false;
   }
-  SetHeldBytes(*exchange, aResponse.m_body.size());
+  const std::uint64_t bytes = aResponse.m_sharedBody
+                                ? aResponse.m_sharedBody->size()
+                                : aResponse.m_body.size();
+  SetHeldBytes(*exchange, bytes);
+  exchange->m_memory = aResponse.m_memory || bytes <= kUncountedBytes
+                         ? std::move(aResponse.m_memory)
+                         : Reserve(bytes);
   exchange->m_response = std::move(aResponse);
   WriteNextResponse();
 }
@@ -532,27 +605,38 @@
   }
   DropUnhandledRequests();
   m_isDiscarding = true;
-  m_readDeadline = Instant::max();
+  m_readDeadline = IoThreads::Now() + kLingerLimit;
+  ArmReadTimer();
   beast::error_code ignored;
   m_stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-  m_stream.expires_after(kLingerLimit);
   ReadAndDiscard(0);
 }
 
 void
 HttpConnection::ReadAndDiscard(std::size_t aDiscarded)
 {
-  m_discarded.resize(kDiscardChunkBytes);
-  m_stream.async_read_some(asio::buffer(m_discarded),
-                           [self = shared_from_this(), aDiscarded](
-                             beast::error_code aError, std::size_t aBytes) {
-                             const std::size_t discarded = aDiscarded + aBytes;
-                             if (aError || discarded > kDiscardLimitBytes) {
-                               self->CloseSocket();
-                               return;
-                             }
-                             self->ReadAndDiscard(discarded);
-                           });
+  m_stream.socket().async_wait(
+    tcp::socket::wait_read,
+    [self = shared_from_this(), aDiscarded](beast::error_code aError) {
+      self->OnDiscardable(aError, aDiscarded);
+    });
+}
+
+void
+HttpConnection::OnDiscardable(beast::error_code aError, std::size_t aDiscarded)
+{
+  std::array<char, kDiscardChunkBytes> bytes{};
+  beast::error_code error = aError;
+  std::size_t discarded = aDiscarded;
+  if (!error) {
+    discarded += m_stream.socket().read_some(asio::buffer(bytes), error);
+  }
+  const bool isEnded = error && error != asio::error::would_block;
+  if (!m_isOpen || isEnded || discarded > kDiscardLimitBytes) {
+    CloseSocket();
+    return;
+  }
+  ReadAndDiscard(discarded);
 }
 
 /* The caller no longer reads responses. */
--- a/modules/cr_transport/http/cr_HttpConnection.h
+++ b/modules/cr_transport/http/cr_HttpConnection.h
@@ -10,8 +10,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/string_body.hpp>
 
+#include "cr_transport/http/cr_HttpBody.h"
 #include "cr_transport/http/cr_HttpRequestReader.h"
 #include "cr_transport/http/cr_HttpServerShared.h"
 
@@ -56,6 +56,8 @@
     std::optional<HttpResponse> m_response;
     std::function<void()> m_onDisconnect;
     std::uint64_t m_heldBytes = 0;
+    /* Of the response. */
+    MessageMemory m_memory;
   };
 
   struct WaitingRequest
@@ -85,6 +87,10 @@
   void BeginRequest();
   void DropUnhandledRequests();
   void WaitForBytes();
+  bool ReserveForReceipt();
+  void OnRoom();
+  void SettleMemory();
+  MessageMemory Reserve(std::uint64_t aBytes) const;
   void OnReadable(boost::beast::error_code aError);
   void SetReadDeadline();
   void ArmReadTimer();
@@ -107,6 +113,7 @@
   /* Closing. */
   void DiscardRemainder();
   void ReadAndDiscard(std::size_t aDiscarded);
+  void OnDiscardable(boost::beast::error_code aError, std::size_t aDiscarded);
   void DropExchanges();
   void CloseSocket();
 
@@ -119,13 +126,13 @@
   HttpRequestReader m_reader;
   /* Bytes of the body that is being read or waits for its turn. */
   std::uint64_t m_readerBytes = 0;
+  /* Of the reader. */
+  MemoryReservation m_memory;
   /* A request that was read and not yet handed over. */
   std::optional<WaitingRequest> m_waiting;
   std::deque<Exchange> m_exchanges;
   std::uint64_t m_lastNumber = 0;
-  std::optional<boost::beast::http::response<boost::beast::http::string_body>>
-    m_message;
-  std::string m_discarded;
+  std::optional<boost::beast::http::response<SharedBodyType>> m_message;
   boost::asio::steady_timer m_readTimer;
   /* When the read timer fires; never if it is not armed. */
   Instant m_timerDue = Instant::max();
@@ -133,6 +140,7 @@
   ReadPhase m_phase = ReadPhase::None;
   bool m_isAdvancing = false;
   bool m_isAwaitingBytes = false;
+  bool m_isAwaitingRoom = false;
   bool m_isWriting = false;
   /* Later requests are handed over. */
   bool m_takesRequests = true;
--- a/modules/cr_transport/http/cr_HttpMessage.cpp
+++ b/modules/cr_transport/http/cr_HttpMessage.cpp
@@ -15,6 +15,28 @@
   "Trailer",    "Upgrade",    "Transfer-Encoding", "Content-Length"
 };
 
+/* Of the heap and of the containers for one header, in a message and in its
+   serialized form. */
+constexpr std::uint64_t kHeaderOverheadBytes = 160;
+
+}
+
+std::uint64_t
+MemoryOf(std::span<const HttpHeader> aHeaders)
+{
+  std::uint64_t bytes = 0;
+  for (const HttpHeader& header : aHeaders) {
+    bytes +=
+      header.m_name.size() + header.m_value.size() + kHeaderOverheadBytes;
+  }
+  return bytes;
+}
+
+std::uint64_t
+MemoryOf(const HttpRequest& aRequest)
+{
+  return sizeof(HttpRequest) + aRequest.m_target.size() +
+         MemoryOf(aRequest.m_headers) + aRequest.m_body.size();
 }
 
 std::string_view
--- a/modules/cr_transport/http/cr_HttpMessage.h
+++ b/modules/cr_transport/http/cr_HttpMessage.h
@@ -2,12 +2,14 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "cr_core/cr_core.h"
+#include "cr_transport/memory/cr_MemoryAccount.h"
 
 namespace cr {
 
@@ -21,6 +23,9 @@
 /** Header fields in the order received. */
 using HttpHeaders = std::vector<HttpHeader>;
 
+/** A body that several messages share. */
+using SharedBody = std::shared_ptr<const std::string>;
+
 /** An HTTP request without its framing. */
 struct HttpRequest
 {
@@ -33,8 +38,23 @@
   /** How long the request waited for earlier ones of its connection after it
       was read; set by HttpServer. */
   Duration m_waited{};
+  /** Body to send in place of m_body, unless null. */
+  SharedBody m_sharedBody{};
+  /** Memory of a request that was received; set by HttpServer. */
+  MessageMemory m_memory{};
 };
 
+/** Returns the body to send; null if it is empty. Thread safe. */
+template<typename Message>
+SharedBody
+ShareBody(Message&& aMessage)
+{
+  if (aMessage.m_sharedBody || aMessage.m_body.empty()) {
+    return std::move(aMessage.m_sharedBody);
+  }
+  return std::make_shared<const std::string>(std::move(aMessage.m_body));
+}
+
 /** HTTP status codes that the programs send. */
 inline constexpr unsigned kHttpOk = 200;
 inline constexpr unsigned kHttpBadRequest = 400;
@@ -55,6 +75,11 @@
   /** Number of requests that the connection had carried before; set by
       HttpClient. */
   std::size_t m_earlier = 0;
+  /** Body to send in place of m_body, unless null. */
+  SharedBody m_sharedBody{};
+  /** Memory of a response that was received; set by HttpClient. HttpServer
+      keeps it until the response is sent. */
+  MessageMemory m_memory{};
 };
 
 /** Returns the value of the first header with the name, ignoring case; empty
@@ -62,6 +87,15 @@
 std::string_view
 FindHeader(std::span<const HttpHeader> aHeaders, std::string_view aName);
 
+/** Returns about how much memory the headers take. Thread safe. */
+std::uint64_t
+MemoryOf(std::span<const HttpHeader> aHeaders);
+
+/** Returns about how much memory the request takes, without a shared body.
+    Thread safe. */
+std::uint64_t
+MemoryOf(const HttpRequest& aRequest);
+
 /** Removes hop-by-hop headers (RFC 9110, section 7.6.1) and those that a
     Connection header lists. Thread safe. */
 void
--- a/modules/cr_transport/http/cr_HttpRequestReader.h
+++ b/modules/cr_transport/http/cr_HttpRequestReader.h
@@ -5,8 +5,8 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
+#include "cr_transport/http/cr_HttpBody.h"
 #include "cr_transport/http/cr_HttpServer.h"
 
 namespace cr {
@@ -37,6 +37,12 @@
   };
 
   //==========================================================================
+  /** Refusals repeat the header with the name; empty for none. */
+  explicit HttpRequestReader(std::string aEchoedHeader = {})
+    : m_echoedHeader(std::move(aEchoedHeader))
+  {
+  }
+
   /** Returns space for the next bytes to receive, at least one byte.
       Precondition: the space that is left, BytesAllowed(), is not 0. */
   boost::asio::mutable_buffer Prepare();
@@ -49,6 +55,9 @@
       is no room. */
   HttpReadProgress Read(const HttpLimits& aLimits, std::uint64_t aMaxBodyBytes);
 
+  /** Refuses the present request as one for which there is no room. */
+  void RefuseForLackOfRoom();
+
   /** Returns the request that was read. Precondition: Read() has returned
       Complete since the last call. */
   ReadRequest Take();
@@ -76,18 +85,28 @@
       sent. */
   std::uint64_t BodyBytes() const;
 
+  /** Returns about how much memory the reader takes. */
+  std::uint64_t Memory() const { return MemoryWith(0); }
+
+  /** Returns about how much memory the reader takes once the space of Prepare()
+      is filled. Precondition: as for Prepare(). */
+  std::uint64_t MemoryAfterReceipt() const;
+
 private:
-  using Parser =
-    boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<ReceivedBodyType>;
 
   HttpReadProgress Refuse(unsigned aStatus, std::string_view aText);
+  std::size_t BytesToReceive() const;
+  std::uint64_t MemoryWith(std::size_t aBytes) const;
   HttpReadProgress Parse(boost::beast::error_code& aError);
 
+  const std::string m_echoedHeader;
   boost::beast::flat_buffer m_buffer;
   std::optional<Parser> m_parser;
   HttpResponse m_refusal;
-  std::uint64_t m_maxBodyBytes = 0;
   std::size_t m_maxBufferBytes = 0;
+  /* Of the header fields that were read. */
+  std::uint64_t m_headMemory = 0;
 };
 
 }
--- a/modules/cr_transport/http/cr_HttpResponseReader.cpp
+++ b/modules/cr_transport/http/cr_HttpResponseReader.cpp
@@ -9,6 +9,8 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/optional.hpp>
 
+#include "cr_transport/http/cr_HttpBody.h"
+
 namespace cr {
 
 namespace {
@@ -20,6 +22,8 @@
    nor body, such as chunk extensions and trailers. */
 constexpr std::size_t kMaxBufferBytes = 128 * 1024;
 constexpr std::size_t kMinReceivedBytes = 512;
+/* A buffer of more bytes is released with its last response. */
+constexpr std::size_t kKeptBufferBytes = 8 * 1024;
 /* Size of the end of a chunked body. */
 constexpr std::size_t kChunksEndBytes = std::string_view("0\r\n\r\n").size();
 constexpr int kHttpVersion11 = 11;
@@ -63,16 +67,13 @@
 class HttpResponseReader::Parser : public http::basic_parser<false>
 {
 public:
-  explicit Parser(std::shared_ptr<HttpBodyBudget> aBudget)
-    : m_budget(std::move(aBudget))
-  {
-  }
-
+  Parser() = default;
   Parser(const Parser&) = delete;
   Parser& operator=(const Parser&) = delete;
-  ~Parser() override { m_budget->Release(m_reserved); }
+  ~Parser() override = default;
 
   HttpResponse m_response;
+  ReceivedBody m_body;
 
 private:
   void on_request_impl(http::verb /*aVerb*/,
@@ -125,20 +126,18 @@
     m_isHeaderRead = true;
   }
 
-  void on_body_init_impl(const boost::optional<std::uint64_t>& /*aLength*/,
+  void on_body_init_impl(const boost::optional<std::uint64_t>& aLength,
                          beast::error_code& /*aError*/) override
   {
+    if (aLength) {
+      m_body.Expect(*aLength);
+    }
   }
 
   std::size_t on_body_impl(beast::string_view aBytes,
-                           beast::error_code& aError) override
+                           beast::error_code& /*aError*/) override
   {
-    if (!m_budget->TryReserve(aBytes.size())) {
-      aError = make_error_code(boost::system::errc::not_enough_memory);
-      return 0;
-    }
-    m_reserved += aBytes.size();
-    m_response.m_body += aBytes;
+    m_body.Append({ aBytes.data(), aBytes.size() });
     return aBytes.size();
   }
 
@@ -157,8 +156,6 @@
 
   void on_finish_impl(beast::error_code& /*aError*/) override {}
 
-  const std::shared_ptr<HttpBodyBudget> m_budget;
-  std::uint64_t m_reserved = 0;
   int m_version = 0;
   bool m_hasLength = false;
   bool m_isHeaderRead = false;
@@ -172,12 +169,10 @@
 HttpResponseReader::~HttpResponseReader() = default;
 
 void
-HttpResponseReader::Begin(std::shared_ptr<HttpBodyBudget> aBudget,
-                          std::uint64_t aMaxBodyBytes,
-                          bool aIsToHead)
+HttpResponseReader::Begin(std::uint64_t aMaxBodyBytes, bool aIsToHead)
 {
   m_error.clear();
-  m_parser = std::make_unique<Parser>(std::move(aBudget));
+  m_parser = std::make_unique<Parser>();
   m_parser->body_limit(aMaxBodyBytes);
   m_parser->skip(aIsToHead);
   m_parser->eager(true);
@@ -185,10 +180,35 @@
 
 boost::asio::mutable_buffer
 HttpResponseReader::Prepare()
+{
+  return m_buffer.prepare(BytesToReceive());
+}
+
+std::size_t
+HttpResponseReader::BytesToReceive() const
 {
   const std::size_t spare = m_buffer.capacity() - m_buffer.size();
-  return m_buffer.prepare(std::min(std::max(spare, kMinReceivedBytes),
-                                   kMaxBufferBytes - m_buffer.size()));
+  return std::min(std::max(spare, kMinReceivedBytes),
+                  kMaxBufferBytes - m_buffer.size());
+}
+
+bool
+HttpResponseReader::IsLengthKnown() const
+{
+  return m_parser->is_header_done() && m_parser->content_length();
+}
+
+std::uint64_t
+HttpResponseReader::MemoryAfterReceipt() const
+{
+  const std::uint64_t received = m_buffer.size() + BytesToReceive();
+  const std::uint64_t head = MemoryOf(m_parser->m_response.m_headers);
+  if (!m_parser->is_header_done()) {
+    return std::max(received, m_buffer.capacity()) + head;
+  }
+  const auto length = m_parser->content_length();
+  return std::max(received, m_buffer.capacity()) + head +
+         (length ? *length : m_parser->m_body.MemoryWith(received));
 }
 
 HttpResponseProgress
@@ -257,7 +277,11 @@
 HttpResponseReader::Take()
 {
   HttpResponse response = std::move(m_parser->m_response);
+  response.m_body = m_parser->m_body.Take();
   m_parser.reset();
+  if (m_buffer.size() == 0 && m_buffer.capacity() > kKeptBufferBytes) {
+    m_buffer.shrink_to_fit();
+  }
   return response;
 }
 
--- a/modules/cr_transport/http/cr_HttpResponseReader.h
+++ b/modules/cr_transport/http/cr_HttpResponseReader.h
@@ -8,7 +8,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
-#include "cr_transport/http/cr_HttpBodyBudget.h"
 #include "cr_transport/http/cr_HttpMessage.h"
 
 namespace cr {
@@ -46,11 +45,8 @@
 
   //==========================================================================
   /** Begins the next response; one that was not taken is discarded. The body
-     may have aMaxBodyBytes, which are reserved from the budget as they arrive.
-     A response to a HEAD request has no body. */
-  void Begin(std::shared_ptr<HttpBodyBudget> aBudget,
-             std::uint64_t aMaxBodyBytes,
-             bool aIsToHead);
+     may have aMaxBodyBytes. A response to a HEAD request has no body. */
+  void Begin(std::uint64_t aMaxBodyBytes, bool aIsToHead);
 
   /** Returns space for the next bytes to receive, at least one byte.
       Precondition: the last call of Read() has returned Incomplete. */
@@ -78,6 +74,15 @@
   /** Returns whether a byte of the present response was received. */
   bool IsStarted() const;
 
+  /** Returns about how much memory the response takes once the space of
+     Prepare() is filled: all of its body if its length is known. Precondition:
+     as for Prepare(). */
+  std::uint64_t MemoryAfterReceipt() const;
+
+  /** Returns whether the header was read and tells the length of the body.
+      Precondition: as for Response(). */
+  bool IsLengthKnown() const;
+
   /** Returns whether the server keeps the connection open after the response.
       Precondition: as for Take(). */
   bool KeepsConnection() const;
@@ -91,6 +96,7 @@
 private:
   class Parser;
 
+  std::size_t BytesToReceive() const;
   HttpResponseProgress Parse();
   HttpResponseProgress Break(std::string aError);
 
--- a/modules/cr_transport/http/cr_HttpServer.cpp
+++ b/modules/cr_transport/http/cr_HttpServer.cpp
@@ -21,6 +21,7 @@
 
 /* Keeps a flood of new connections from delaying the open ones. */
 constexpr int kMaxAcceptedTogether = 32;
+constexpr std::uint64_t kDefaultAccountBytes = std::uint64_t{ 256 } << 20U;
 
 }
 
@@ -33,10 +34,17 @@
   Implementation(IoThreads& aThreads,
                  HttpLimits aLimits,
                  HttpHandler aHandler,
-                 HttpOverlapCheck aMayOverlap)
+                 HttpOverlapCheck aMayOverlap,
+                 HttpServerOptions aOptions)
     : m_threads(aThreads)
     , m_acceptor(MakeConnectionExecutor(aThreads))
   {
+    m_shared->m_account =
+      aOptions.m_account
+        ? std::move(aOptions.m_account)
+        : std::make_shared<MemoryAccount>(kDefaultAccountBytes);
+    m_shared->m_refusalHeaders = std::move(aOptions.m_refusalHeaders);
+    m_shared->m_echoedHeader = std::move(aOptions.m_echoedHeader);
     m_shared->m_limits = aLimits;
     m_shared->m_handler = std::move(aHandler);
     m_shared->m_mayOverlap = std::move(aMayOverlap);
@@ -185,11 +193,13 @@
 HttpServer::HttpServer(IoThreads& aThreads,
                        HttpLimits aLimits,
                        HttpHandler aHandler,
-                       HttpOverlapCheck aMayOverlap)
+                       HttpOverlapCheck aMayOverlap,
+                       HttpServerOptions aOptions)
   : m_implementation(std::make_shared<Implementation>(aThreads,
                                                       aLimits,
                                                       std::move(aHandler),
-                                                      std::move(aMayOverlap)))
+                                                      std::move(aMayOverlap),
+                                                      std::move(aOptions)))
 {
 }
 
--- a/modules/cr_transport/http/cr_HttpServer.h
+++ b/modules/cr_transport/http/cr_HttpServer.h
@@ -88,6 +88,20 @@
     threads. */
 using HttpOverlapCheck = std::function<bool(const HttpRequest&)>;
 
+/** Options of an HTTP server. */
+struct HttpServerOptions
+{
+  /** Account for what the server holds: requests until they are released, and
+      responses until they are sent. Without room in it, requests are refused or
+      not read on. Null for an account of the server's own. */
+  std::shared_ptr<MemoryAccount> m_account;
+  /** Added to responses to requests for which there is no room. */
+  HttpHeaders m_refusalHeaders;
+  /** Header that a response to a request which is refused before it is handled
+      repeats; empty for none. */
+  std::string m_echoedHeader;
+};
+
 /** HTTP/1.1 server. Responses are written in the order of the requests.
    Pipelined requests that the overlap check allows are handled side by side;
    any other is handled once all earlier ones of its connection are answered.
@@ -105,7 +119,8 @@
   HttpServer(IoThreads& aThreads,
              HttpLimits aLimits,
              HttpHandler aHandler,
-             HttpOverlapCheck aMayOverlap = {});
+             HttpOverlapCheck aMayOverlap = {},
+             HttpServerOptions aOptions = {});
   /** Closes all connections. */
   ~HttpServer();
   HttpServer(const HttpServer&) = delete;
--- a/modules/cr_transport/http/cr_HttpServerShared.h
+++ b/modules/cr_transport/http/cr_HttpServerShared.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <mutex>
 
 #include "cr_transport/http/cr_HttpServer.h"
@@ -29,6 +30,9 @@
   /** Returns whether connections close after the requests in progress. */
   bool IsClosing() const { return m_stopping || m_closesAfterResponses; }
 
+  std::shared_ptr<MemoryAccount> m_account;
+  HttpHeaders m_refusalHeaders;
+  std::string m_echoedHeader;
   HttpHandler m_handler;
   HttpOverlapCheck m_mayOverlap;
   std::atomic<std::size_t> m_inProgress{ 0 };
--- a/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
+++ b/modules/cr_transport/tests/cr_HttpPassThroughTest.cpp
@@ -354,6 +354,94 @@
   }
 }
 
+/* Issue 58: a refusal without the identifier is no answer on a reused
+   connection, so its promise did not reach the caller. */
+TEST(HttpPassThrough, RefusalForLackOfRoomRepeatsTheId)
+{
+  HttpLimits limits;
+  limits.m_heldBodyBytes = 1000;
+  IoThreads threads(1);
+  HttpServer server(
+    threads,
+    limits,
+    [](const HttpRequest& aRequest, const HttpResponder& aResponder) {
+      HttpResponse response = MakeTextResponse(kHttpOk, "");
+      response.m_headers.push_back(
+        { "Echo", std::string(FindHeader(aRequest.m_headers, "Echo")) });
+      aResponder.Send(std::move(response));
+    },
+    {},
+    { nullptr, { { "Not-Run", "1" } }, "Echo" });
+  const Endpoint address = server.Listen({ "127.0.0.1", 0 }).value();
+  Client client;
+  ASSERT_TRUE(std::holds_alternative<HttpResponse>(
+    SendWithId(client.m_client, address, "first")));
+  HttpRequest request{ "POST", "/", { { "Echo", "second" } }, "" };
+  request.m_body.assign(2000, 'b');
+  HttpSendOptions options;
+  options.m_echoedHeader = "Echo";
+  std::promise<HttpResult> promise;
+  client.m_client.Send(address, request, options, [&](HttpResult aResult) {
+    promise.set_value(std::move(aResult));
+  });
+  const HttpResult result = promise.get_future().get();
+  ASSERT_TRUE(std::holds_alternative<HttpResponse>(result))
+    << std::get<HttpFailure>(result).m_text;
+  const auto& refusal = std::get<HttpResponse>(result);
+  EXPECT_EQ(refusal.m_status, kHttpUnavailable);
+  EXPECT_EQ(refusal.m_earlier, 1U);
+  EXPECT_EQ(FindHeader(refusal.m_headers, "Not-Run"), "1");
+  EXPECT_FALSE(FindHeader(refusal.m_headers, "Retry-After").empty());
+}
+
+/* Issue 58: a connection that gave up its wait for room was never read again.
+ */
+TEST(HttpPassThrough, RequestsBehindOneAreServedThoughThereWasNoRoom)
+{
+  const auto account =
+    std::make_shared<MemoryAccount>(std::uint64_t{ 64 } * 1024);
+  IoThreads threads(1);
+  Guarded<std::vector<HttpResponder>> pending;
+  std::atomic<int> handled{ 0 };
+  HttpServer server(
+    threads,
+    {},
+    [&](const HttpRequest& /*aRequest*/, const HttpResponder& aResponder) {
+      pending.WithLock([&](auto& aPending) { aPending.push_back(aResponder); });
+      ++handled;
+    },
+    {},
+    { account, {}, "" });
+  const Endpoint address = server.Listen({ "127.0.0.1", 0 }).value();
+  boost::asio::io_context context;
+  tcp::socket socket(context);
+  socket.connect(
+    { boost::asio::ip::make_address(address.m_address), address.m_port });
+  const std::string_view request = "GET / HTTP/1.1\r\n\r\n";
+  const auto send = [&](int aCount) {
+    for (int number = 0; number < aCount; ++number) {
+      boost::asio::write(socket, boost::asio::buffer(request));
+    }
+    std::this_thread::sleep_for(Milliseconds(50));
+  };
+  send(3);
+  MemoryReservation others(account);
+  others.Resize(account->Limit());
+  send(2);
+  for (int answered = 0; answered < 5; ++answered) {
+    for (int wait = 0; wait < 200 && handled <= answered; ++wait) {
+      std::this_thread::sleep_for(Milliseconds(10));
+    }
+    ASSERT_GT(handled, answered);
+    const HttpResponder responder =
+      pending.WithLock([&](const auto& aPending) { return aPending.back(); });
+    responder.Send(MakeTextResponse(kHttpOk, ""));
+    if (answered == 2) {
+      others.Resize(0);
+    }
+  }
+}
+
 /* Guards against connections that stay open when their caller disconnects and
    no handler responds. Under overload hundreds of callers disconnect per
    second. */
--- a/programs/corianderrack-node/main.cpp
+++ b/programs/corianderrack-node/main.cpp
@@ -65,6 +65,7 @@
 int
 main(int aCount, char** aArguments)
 {
+  cr::ReturnLargeBlocksAtOnce();
   const auto command = cr::ParseCommand(
     { aArguments, static_cast<std::size_t>(aCount) }, ProgramDescription());
   if (!command) {
