Lint: an unused constant; names that Beast prescribes

The names of the members of Beast's body types are not ours to choose, so the check is off for them.

--- a/modules/cr_relay_server/tests/cr_CopiedRejectionTest.cpp
+++ b/modules/cr_relay_server/tests/cr_CopiedRejectionTest.cpp
@@ -18,7 +18,6 @@
 
 constexpr std::string_view kRejectedTarget = "/booking/rejected";
 constexpr std::string_view kNotRunField = "Cr-Not-Run: 1\r\n";
-constexpr unsigned kStatusMisdirected = 421;
 constexpr Duration kLatency = Milliseconds(100);
 /* Rejects also what the entry sends again within its retry budget. */
 constexpr int kRejectAll = 1000;
--- a/modules/cr_transport/http/cr_HttpBody.h
+++ b/modules/cr_transport/http/cr_HttpBody.h
@@ -43,6 +43,9 @@
   std::uint64_t m_expected = 0;
 };
 
+// Beast prescribes the names of the members of body types.
+// NOLINTBEGIN(readability-identifier-naming)
+
 /** Body type of Beast for messages in receipt. */
 struct ReceivedBodyType
 {
@@ -51,8 +54,8 @@
   class reader
   {
   public:
-    template<bool isRequest, typename Fields>
-    reader(boost::beast::http::header<isRequest, Fields>& /*aHeader*/,
+    template<bool IsRequest, typename Fields>
+    reader(boost::beast::http::header<IsRequest, Fields>& /*aHeader*/,
            value_type& aBody)
       : m_body(aBody)
     {
@@ -102,8 +105,8 @@
   public:
     using const_buffers_type = boost::asio::const_buffer;
 
-    template<bool isRequest, typename Fields>
-    writer(const boost::beast::http::header<isRequest, Fields>& /*aHeader*/,
+    template<bool IsRequest, typename Fields>
+    writer(const boost::beast::http::header<IsRequest, Fields>& /*aHeader*/,
            const value_type& aBody)
       : m_body(aBody)
     {
@@ -124,4 +127,6 @@
   };
 };
 
+// NOLINTEND(readability-identifier-naming)
+
 }
