--- a/modules/cr_transport/tests/cr_MemoryAccountTest.cpp
+++ b/modules/cr_transport/tests/cr_MemoryAccountTest.cpp
@@ -103,8 +103,10 @@
   constexpr std::uint64_t step = 128 * 1024;
   constexpr std::uint64_t whole = kLimit / 2;
   const auto account = MakeAccount();
+  constexpr int count = 8;
   std::vector<MemoryReservation> holders;
-  for (int number = 0; number < 8; ++number) {
+  holders.reserve(count);
+  for (int number = 0; number < count; ++number) {
     holders.emplace_back(account);
   }
   bool isReached = false;
@@ -144,8 +146,10 @@
 {
   const auto account = MakeAccount();
   std::atomic<int> called{ 0 };
+  constexpr int count = 4;
   std::vector<std::jthread> threads;
-  for (int thread = 0; thread < 4; ++thread) {
+  threads.reserve(count);
+  for (int thread = 0; thread < count; ++thread) {
     threads.emplace_back([&] {
       for (int round = 0; round < 2000; ++round) {
         MemoryReservation holder(account);
