--- a/modules/cr_relay_server/tests/cr_CopiedRejectionTest.cpp
+++ b/modules/cr_relay_server/tests/cr_CopiedRejectionTest.cpp
@@ -17,7 +17,6 @@
 namespace {
 
 constexpr std::string_view kRejectedTarget = "/booking/rejected";
-constexpr std::string_view kNotRunField = "Cr-Not-Run: 1\r\n";
 constexpr Duration kLatency = Milliseconds(100);
 /* Rejects also what the entry sends again within its retry budget. */
 constexpr int kRejectAll = 1000;
@@ -80,15 +79,13 @@
 std::string
 RejectAsBusy(const ScriptedRequest& aRequest)
 {
-  return EmptyAnswer("503 Busy",
-                     ServerFields(aRequest) + std::string(kNotRunField));
+  return EmptyAnswer("503 Busy", NotRunFields(aRequest));
 }
 
 std::string
 RejectAsMisdirected(const ScriptedRequest& aRequest)
 {
-  return EmptyAnswer("421 Misdirected Request",
-                     ServerFields(aRequest) + std::string(kNotRunField));
+  return EmptyAnswer("421 Misdirected Request", NotRunFields(aRequest));
 }
 
 std::string
@@ -128,13 +125,35 @@
            : GateAnswer(aRequest, "200 OK", DispatchResult::Answered);
 }
 
-/* The retry budget is a ratio of the requests. */
+using Sender = std::function<HttpResponse()>;
+
+/* Sends a request that is rejected whenever a server gets it, and once more. */
 void
-FillRetryBudget(RelayFleet& aFleet)
+ExpectTheSecondSendingRunsOnce(RejectionCopier& aCopier,
+                               const Sender& aFirst,
+                               const Sender& aSecond)
 {
-  for (int request = 0; request < 60; ++request) {
-    ASSERT_EQ(aFleet.Send(0, "/booking/7").m_status, kHttpOk);
-  }
+  aCopier.m_runs = 0;
+  aCopier.m_rejections = 0;
+  aCopier.m_remainingRejections = kRejectAll;
+  EXPECT_EQ(aFirst().m_status, kHttpUnavailable);
+  EXPECT_GE(aCopier.m_rejections, 1);
+  aCopier.m_remainingRejections = 0;
+  EXPECT_EQ(aSecond().m_status, kHttpOk);
+  std::this_thread::sleep_for(kLatency);
+  EXPECT_EQ(aCopier.m_runs, 1);
+}
+
+/* Sends a request that is rejected once, and that the entry sends again. */
+void
+ExpectTheRepeatRunsOnce(RejectionCopier& aCopier, const Sender& aSend)
+{
+  aCopier.m_runs = 0;
+  aCopier.m_rejections = 0;
+  aCopier.m_remainingRejections = 1;
+  EXPECT_EQ(aSend().m_status, kHttpOk);
+  EXPECT_EQ(aCopier.m_rejections, 1);
+  EXPECT_EQ(aCopier.m_runs, 1);
 }
 
 /* Two nodes; the server of the first one, for bookings, copies rejections. */
@@ -169,15 +188,10 @@
                    std::size_t aSecond,
                    const std::string& aId)
   {
-    m_copier.m_runs = 0;
-    m_copier.m_rejections = 0;
-    m_copier.m_remainingRejections = kRejectAll;
-    EXPECT_EQ(Send(aFirst, aId).m_status, kHttpUnavailable);
-    EXPECT_GE(m_copier.m_rejections, 1);
-    m_copier.m_remainingRejections = 0;
-    EXPECT_EQ(Send(aSecond, aId).m_status, kHttpOk);
-    std::this_thread::sleep_for(kLatency);
-    EXPECT_EQ(m_copier.m_runs, 1);
+    ExpectTheSecondSendingRunsOnce(
+      m_copier,
+      [&] { return Send(aFirst, aId); },
+      [&] { return Send(aSecond, aId); });
   }
 
   /* A node's request to the gate, without the mark of a repeated one. */
@@ -245,14 +259,10 @@
 /* The gate that has refused the request sends it to its server once more. */
 TEST_F(CopiedRejection, OfARequestThatTheEntrySentBeforeIsNoAnswer)
 {
-  FillRetryBudget(m_fleet);
+  m_fleet.FillRetryBudget("/booking/7");
   for (int round = 0; round < 3; ++round) {
-    m_copier.m_runs = 0;
-    m_copier.m_rejections = 0;
-    m_copier.m_remainingRejections = 1;
-    EXPECT_EQ(Send(0, "entry-" + std::to_string(round)).m_status, kHttpOk);
-    EXPECT_EQ(m_copier.m_rejections, 1);
-    EXPECT_EQ(m_copier.m_runs, 1);
+    ExpectTheRepeatRunsOnce(
+      m_copier, [&] { return Send(0, "entry-" + std::to_string(round)); });
   }
 }
 
@@ -319,28 +329,17 @@
 TEST_F(CopiedRefusalOfAGate, OfARequestThatTheCallerSentBeforeIsNoAnswer)
 {
   for (int round = 0; round < 3; ++round) {
-    const std::string id = "caller-" + std::to_string(round);
-    m_copier.m_runs = 0;
-    m_copier.m_rejections = 0;
-    m_copier.m_remainingRejections = kRejectAll;
-    EXPECT_EQ(Send(id).m_status, kHttpUnavailable);
-    EXPECT_GE(m_copier.m_rejections, 1);
-    m_copier.m_remainingRejections = 0;
-    EXPECT_EQ(Send(id).m_status, kHttpOk);
-    EXPECT_EQ(m_copier.m_runs, 1);
+    const auto send = [&] { return Send("caller-" + std::to_string(round)); };
+    ExpectTheSecondSendingRunsOnce(m_copier, send, send);
   }
 }
 
 TEST_F(CopiedRefusalOfAGate, OfARequestThatTheEntrySentBeforeIsNoAnswer)
 {
-  FillRetryBudget(m_fleet);
+  m_fleet.FillRetryBudget("/booking/7");
   for (int round = 0; round < 3; ++round) {
-    m_copier.m_runs = 0;
-    m_copier.m_rejections = 0;
-    m_copier.m_remainingRejections = 1;
-    EXPECT_EQ(Send("entry-" + std::to_string(round)).m_status, kHttpOk);
-    EXPECT_EQ(m_copier.m_rejections, 1);
-    EXPECT_EQ(m_copier.m_runs, 1);
+    ExpectTheRepeatRunsOnce(
+      m_copier, [&] { return Send("entry-" + std::to_string(round)); });
   }
 }
 
--- a/modules/cr_relay_server/tests/cr_RelayFleet.cpp
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.cpp
@@ -318,6 +318,15 @@
   return SendTo(aHost, kCustomerPort, std::move(request));
 }
 
+void
+RelayFleet::FillRetryBudget(const std::string& aTarget)
+{
+  ASSERT_EQ(SendUntil(0, aTarget, kHttpOk), kHttpOk);
+  for (int request = 0; request < 60; ++request) {
+    ASSERT_EQ(Send(0, aTarget).m_status, kHttpOk);
+  }
+}
+
 unsigned
 RelayFleet::SendUntil(std::size_t aHost,
                       const std::string& aTarget,
--- a/modules/cr_relay_server/tests/cr_RelayFleet.h
+++ b/modules/cr_relay_server/tests/cr_RelayFleet.h
@@ -78,6 +78,10 @@
                           const std::string& aId,
                           HttpHeaders aHeaders = {});
 
+  /** Sends requests through the first host's node that are served, so that its
+      retry budget, a ratio of them, allows some retries. */
+  void FillRetryBudget(const std::string& aTarget);
+
   /** Sends requests until one gets the status, for about two seconds at most;
       returns the last status. */
   unsigned SendUntil(std::size_t aHost,
--- a/modules/cr_relay_server/tests/cr_RelaySendingTest.cpp
+++ b/modules/cr_relay_server/tests/cr_RelaySendingTest.cpp
@@ -12,22 +12,6 @@
 
 namespace {
 
-/* The retry budget is a ratio of the requests. */
-void
-FillRetryBudget(RelayFleet& aFleet, const std::string& aTarget)
-{
-  ASSERT_EQ(aFleet.SendUntil(0, aTarget, kHttpOk), kHttpOk);
-  for (int request = 0; request < 60; ++request) {
-    ASSERT_EQ(aFleet.Send(0, aTarget).m_status, kHttpOk);
-  }
-}
-
-std::string
-NotRunFields(const ScriptedRequest& aRequest)
-{
-  return ServerFields(aRequest) + "Cr-Not-Run: 1\r\n";
-}
-
 /* Review 11, TWICE: the only server rejects a request, gets it again, and sends
    a copy of the rejection before it runs the request. The copy was taken for
    the answer. */
@@ -58,7 +42,7 @@
       return answer;
     });
   fleet.WriteRoutes(1, { "booking" });
-  FillRetryBudget(fleet, "/booking/7");
+  fleet.FillRetryBudget("/booking/7");
   for (int round = 0; round < 3; ++round) {
     rejections = 0;
     runs = 0;
@@ -124,7 +108,7 @@
       return answer;
     });
   fleet.WriteRoutes(1, { "status" });
-  FillRetryBudget(fleet, "/status/7");
+  fleet.FillRetryBudget("/status/7");
   ASSERT_EQ(fleet.Announce(0, 1), kHttpOk);
   auto answer = std::async(std::launch::async,
                            [&] { return fleet.Send(0, "/status/lost"); });
@@ -169,7 +153,7 @@
   const auto first = fleet.ReplaceServer(0, handler);
   const auto second = fleet.ReplaceServer(1, handler);
   fleet.WriteRoutes(1, { "status" });
-  FillRetryBudget(fleet, "/status/7");
+  fleet.FillRetryBudget("/status/7");
   EXPECT_EQ(fleet.Send(0, "/status/lost").m_status, kHttpOk);
   const auto remaining =
     record.WithLock([](Record& aRecord) { return aRecord.m_remaining; });
--- a/modules/cr_relay_server/tests/cr_ScriptedBackend.cpp
+++ b/modules/cr_relay_server/tests/cr_ScriptedBackend.cpp
@@ -26,6 +26,12 @@
          "Cr-Server: server\r\nCr-Server-Load: 0,0,8\r\n";
 }
 
+std::string
+NotRunFields(const ScriptedRequest& aRequest)
+{
+  return ServerFields(aRequest) + "Cr-Not-Run: 1\r\n";
+}
+
 AnswerForm
 SoundForm(const ScriptedRequest& aRequest)
 {
--- a/modules/cr_relay_server/tests/cr_ScriptedBackend.h
+++ b/modules/cr_relay_server/tests/cr_ScriptedBackend.h
@@ -22,6 +22,11 @@
 std::string
 ServerFields(const ScriptedRequest& aRequest);
 
+/** Returns the header lines of a backend server's answer to a request that it
+    did not run. Thread safe. */
+std::string
+NotRunFields(const ScriptedRequest& aRequest);
+
 /** Returns a whole and well-formed answer to the request. Thread safe. */
 AnswerForm
 SoundForm(const ScriptedRequest& aRequest);
