Count the head of a response once, not before each read

A long answer is read in many steps, and each asked for the memory of all its headers again. The parser counts a header as it takes it, in the same way.

--- a/modules/cr_transport/http/cr_HttpResponseReader.cpp
+++ b/modules/cr_transport/http/cr_HttpResponseReader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <span>
 #include <string_view>
 #include <utility>
 
@@ -74,6 +75,7 @@
 
   HttpResponse m_response;
   ReceivedBody m_body;
+  std::uint64_t m_headMemory = 0;
 
 private:
   void on_request_impl(http::verb /*aVerb*/,
@@ -119,6 +121,7 @@
       aError = http::error::bad_transfer_encoding;
     }
     m_response.m_headers.push_back({ std::string(aName), std::string(aValue) });
+    m_headMemory += MemoryOf(std::span(&m_response.m_headers.back(), 1));
   }
 
   void on_header_impl(beast::error_code& /*aError*/) override
@@ -202,13 +205,13 @@
 HttpResponseReader::MemoryAfterReceipt() const
 {
   const std::uint64_t received = m_buffer.size() + BytesToReceive();
-  const std::uint64_t head = MemoryOf(m_parser->m_response.m_headers);
+  const std::uint64_t buffers =
+    std::max(received, m_buffer.capacity()) + m_parser->m_headMemory;
   if (!m_parser->is_header_done()) {
-    return std::max(received, m_buffer.capacity()) + head;
+    return buffers;
   }
   const auto length = m_parser->content_length();
-  return std::max(received, m_buffer.capacity()) + head +
-         (length ? *length : m_parser->m_body.MemoryWith(received));
+  return buffers + (length ? *length : m_parser->m_body.MemoryWith(received));
 }
 
 HttpResponseProgress
